Add the platform interfaces and their HTTP clients

Cause: the log, the workers and the instance list are met through one typed interface each, so that another format costs one new client. The stand-ins need to close a connection without a response.

Ruled out: treating 503 as a refusal without effect; an intermediary can send it after an append took effect, so only 4xx and 501 count as not sent.

Change: packages/platform; http::responder gets abort().

Conclusion: control and serving can be written against these headers.

--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -21,6 +21,9 @@
   virtual void respond(response answer) = 0;
   /// @return whether the caller is still connected.
   virtual bool connected() const = 0;
+  /// Closes the connection without a response; does nothing after `respond`
+  /// or once the caller has disconnected.
+  virtual void abort() {}
   /// Calls `callback` once if the caller disconnects before the response has
   /// been sent.
   virtual void on_disconnect(std::function<void()> callback) = 0;
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -83,13 +83,21 @@
   explicit exchange(lws* connection) : connection_(connection) {}
 
   void respond(response answer) override {
-    if (connection_ == nullptr || answer_) {
+    if (connection_ == nullptr || answer_ || aborted_) {
       return;
     }
     answer_ = std::move(answer);
     lws_callback_on_writable(connection_);
   }
 
+  void abort() override {
+    if (connection_ == nullptr || answer_) {
+      return;
+    }
+    aborted_ = true;
+    lws_callback_on_writable(connection_);
+  }
+
   bool connected() const override { return connection_ != nullptr; }
 
   void on_disconnect(std::function<void()> callback) override {
@@ -116,10 +124,12 @@
   std::size_t body_bytes_written = 0;
 
   const std::optional<response>& answer() const { return answer_; }
+  bool aborted() const { return aborted_; }
 
  private:
   lws* connection_;
   std::optional<response> answer_;
+  bool aborted_ = false;
   std::function<void()> disconnected_;
 };
 
@@ -232,7 +242,13 @@
 
 int server::impl::write(lws* connection) {
   auto found = exchanges.find(connection);
-  if (found == exchanges.end() || !found->second->answer()) {
+  if (found == exchanges.end()) {
+    return 0;
+  }
+  if (found->second->aborted()) {
+    return -1;
+  }
+  if (!found->second->answer()) {
     return 0;
   }
   auto current = found->second;
--- a/packages/http/test/server_test.cc
+++ b/packages/http/test/server_test.cc
@@ -124,6 +124,26 @@
   CHECK(waiting.size() == 1);
 }
 
+// Guards against a closed connection that is taken for an answer, or for a
+// request that was not sent.
+TEST_CASE("an aborted request ends without a response") {
+  fixture f;
+  bool disconnected = false;
+  auto server = server::listen(
+      f.loop, {}, [&](request, const std::shared_ptr<responder>& answer) {
+        answer->on_disconnect([&] { disconnected = true; });
+        answer->abort();
+        answer->respond({200, {}, "late"});
+      });
+  REQUIRE(server.ok());
+  f.send_and_wait((*server)->port(), post("/", "x"));
+  auto* failure = std::get_if<client_failure>(&f.results.at(0));
+  REQUIRE(failure != nullptr);
+  CHECK(failure->phase == failure_phase::possibly_sent);
+  CHECK(failure->status.code() == absl::StatusCode::kUnavailable);
+  CHECK(disconnected);
+}
+
 // Guards against a body above the limit being kept in memory.
 TEST_CASE("an oversized request is refused with 413") {
   fixture f;
--- /dev/null
+++ b/packages/platform/include/platform/instance_list.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "model/types.h"
+
+namespace vanillaladder::platform {
+
+/// An entry instance of the system as the instance list describes it.
+struct entry_info {
+  model::instance_id id;
+  std::string address;
+  std::uint16_t port = 0;
+  model::domain_id domain;
+  model::instance_state state = model::instance_state::live;
+
+  bool operator==(const entry_info&) const = default;
+};
+
+struct instance_snapshot {
+  /// How old the list was when it was answered, by the list's own account.
+  std::chrono::milliseconds age{0};
+  std::vector<model::worker_info> workers;
+  std::vector<model::backend_info> backends;
+  std::vector<entry_info> entries;
+};
+
+/// The platform's list of live and leaving instances; lags behind reality.
+class instance_list {
+ public:
+  using fetch_callback = std::function<void(absl::StatusOr<instance_snapshot>)>;
+
+  virtual ~instance_list() = default;
+
+  /// Reads the whole list.
+  /// @param done called exactly once, on the loop's thread and never inside
+  ///   the call, unless the list is destroyed first.
+  virtual void fetch(fetch_callback done) = 0;
+};
+
+}  // namespace vanillaladder::platform
--- /dev/null
+++ b/packages/platform/src/http_instance_list.cc
@@ -0,0 +1,103 @@
+#include "platform/http_instance_list.h"
+
+#include <stdexcept>
+#include <utility>
+
+#include "json_call.h"
+
+namespace vanillaladder::platform {
+namespace {
+
+constexpr std::int64_t highest_age_ms = std::int64_t{366} * 24 * 3600 * 1000;
+constexpr std::int64_t highest_port = 65535;
+constexpr std::int64_t highest_slots = 1 << 20;
+
+/// What all kinds of entries have in common.
+struct common_fields {
+  std::string id;
+  std::string address;
+  std::uint16_t port = 0;
+  std::string domain;
+  std::string rack;
+  model::instance_state state = model::instance_state::live;
+};
+
+model::instance_state decode_state(const std::string& name) {
+  if (name == "live") {
+    return model::instance_state::live;
+  }
+  if (name == "leaving") {
+    return model::instance_state::leaving;
+  }
+  throw std::invalid_argument("unknown instance state " + name);
+}
+
+common_fields decode_common(const nlohmann::json& item) {
+  return {item.at("id").get<std::string>(),
+          item.at("address").get<std::string>(),
+          static_cast<std::uint16_t>(
+              detail::integer_at(item, "port", 1, highest_port)),
+          detail::optional_string(item, "domain"),
+          detail::optional_string(item, "rack"),
+          decode_state(item.at("state").get<std::string>())};
+}
+
+std::uint32_t slots_at(const nlohmann::json& item, const char* key) {
+  return static_cast<std::uint32_t>(
+      detail::integer_at(item, key, 0, highest_slots));
+}
+
+void add_instance(const nlohmann::json& item, instance_snapshot& snapshot) {
+  auto common = decode_common(item);
+  auto kind = item.at("kind").get<std::string>();
+  if (kind == "worker") {
+    snapshot.workers.push_back({common.id, common.address, common.port,
+                                common.domain, common.rack,
+                                detail::resources_in(item), common.state});
+  } else if (kind == "backend") {
+    snapshot.backends.push_back(
+        {common.id, common.address, common.port, common.domain, common.rack,
+         item.at("service").get<std::string>(), slots_at(item, "slots"),
+         slots_at(item, "connections"), common.state});
+  } else if (kind == "entry") {
+    snapshot.entries.push_back(
+        {common.id, common.address, common.port, common.domain, common.state});
+  }
+  // Kinds that a later release of the platform adds are not for us.
+}
+
+instance_snapshot decode_snapshot(const nlohmann::json& answer) {
+  instance_snapshot snapshot;
+  snapshot.age = std::chrono::milliseconds(
+      detail::integer_at(answer, "age_ms", 0, highest_age_ms));
+  for (const auto& item : answer.at("instances")) {
+    add_instance(item, snapshot);
+  }
+  return snapshot;
+}
+
+}  // namespace
+
+http_instance_list::http_instance_list(http::event_loop& loop,
+                                       http_instance_list_options options)
+    : options_(std::move(options)), client_(loop) {}
+
+void http_instance_list::fetch(fetch_callback done) {
+  detail::json_call call;
+  call.step = "fetch instances";
+  call.peer = "instance list";
+  call.address = options_.address;
+  call.port = options_.port;
+  call.method = "GET";
+  call.target = "/instances";
+  call.options.timeout = options_.timeout;
+  call.options.max_response_bytes = options_.max_answer_bytes;
+  auto peer = detail::peer_name(call);
+  detail::send_json(client_, std::move(call),
+                    [peer, done = std::move(done)](auto answer) {
+                      done(detail::decode_answer(answer, "fetch instances",
+                                                 peer, decode_snapshot));
+                    });
+}
+
+}  // namespace vanillaladder::platform
