Add interactive decisions and the front

Ruled out: decisions inside the I/O callbacks, since the same code must run in a virtual-time benchmark. Change: scheduling headers for admission, queue order, routing, health, retry budget and request state; request_machine, which turns events into actions; front, which executes them over the HTTP client and the ports. The front has no test yet.

--- /dev/null
+++ b/packages/scheduling/include/scheduling/retry_budget.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "model/types.h"
+
+namespace vanillaladder::scheduling {
+
+/// Limits retries to a share of the admitted requests of the last 10 to 20
+/// seconds, so that retries cannot multiply an overload.
+class retry_budget {
+ public:
+  /// Retries allowed in a window however few requests were admitted, so that
+  /// a daemon with little traffic can retry at all. The floor is not added to
+  /// the share.
+  static constexpr std::uint64_t floor_retries = 10;
+
+  /// @param percent retries allowed per 100 admitted requests; 0 = none.
+  void set_percent(unsigned percent) { percent_ = percent; }
+
+  /// Counts an admitted request.
+  void admit(model::time_point now);
+  /// @return whether one more retry is within the budget.
+  bool allows(model::time_point now);
+  /// Counts a retry.
+  void spend(model::time_point now);
+
+ private:
+  struct window {
+    std::uint64_t admitted = 0;
+    std::uint64_t retries = 0;
+  };
+
+  void advance(model::time_point now);
+
+  unsigned percent_ = 10;
+  model::time_point current_start_;
+  std::array<window, 2> windows_;  // current, previous
+};
+
+}  // namespace vanillaladder::scheduling
--- /dev/null
+++ b/packages/scheduling/src/admission.cc
@@ -0,0 +1,97 @@
+#include "scheduling/admission.h"
+
+#include <algorithm>
+
+namespace vanillaladder::scheduling {
+namespace {
+
+// A request that starts must also have time to run. Durations vary around
+// their mean, so twice the expected cost is asked for.
+constexpr double run_time_factor = 2;
+constexpr unsigned max_weighted_samples = 20;
+constexpr std::size_t path_segments = 2;
+
+/// @return the first segments of a path, which rarely contain an id.
+std::string_view start_of(std::string_view path) {
+  std::size_t at = 0;
+  for (std::size_t n = 0; n <= path_segments; ++n) {
+    at = path.find('/', n == 0 ? 0 : at + 1);
+    if (at == std::string_view::npos) {
+      return path;
+    }
+  }
+  return path.substr(0, at);
+}
+
+std::string join(std::string_view a, std::string_view b) {
+  std::string text(a);
+  text += '\n';
+  text += b;
+  return text;
+}
+
+}  // namespace
+
+double expected_wait_ms(const admission_input& input) {
+  if (input.slot_free || input.slots == 0) {
+    return 0;
+  }
+  double total = input.backlog_ms / input.slots;
+  double share = input.team_weight / std::max(1.0, input.active_weight);
+  return std::min(total, input.team_backlog_ms / (share * input.slots));
+}
+
+std::optional<refusal_reason> decide_admission(const admission_input& input) {
+  if (input.queued >= input.max_queued) {
+    return refusal_reason::queue_full;
+  }
+  if (input.remaining_ms <= 0) {
+    return refusal_reason::deadline;
+  }
+  if (input.slot_free) {
+    return std::nullopt;
+  }
+  double needed =
+      expected_wait_ms(input) + run_time_factor * input.expected_cost_ms;
+  if (input.backlog_ms <= 0 || needed <= input.remaining_ms) {
+    return std::nullopt;
+  }
+  double share = input.team_weight / std::max(1.0, input.active_weight);
+  bool over_share = input.active_weight > input.team_weight &&
+                    input.team_backlog_ms > share * input.backlog_ms;
+  return over_share ? refusal_reason::team_share : refusal_reason::deadline;
+}
+
+void cost_estimator::average::add(double sample_ms) {
+  samples = std::min(samples + 1, max_weighted_samples);
+  value_ms += (sample_ms - value_ms) / samples;
+}
+
+void cost_estimator::observe(std::string_view service,
+                             std::string_view request_class,
+                             std::string_view path, double duration_ms) {
+  auto class_key = join(service, request_class);
+  auto path_key = join(class_key, start_of(path));
+  by_class_[std::move(class_key)].add(duration_ms);
+  auto found = by_path_.find(path_key);
+  if (found != by_path_.end()) {
+    found->second.add(duration_ms);
+  } else if (by_path_.size() < max_paths) {
+    by_path_[std::move(path_key)].add(duration_ms);
+  }
+}
+
+double cost_estimator::expect(std::string_view service,
+                              std::string_view request_class,
+                              std::string_view path) const {
+  auto class_key = join(service, request_class);
+  auto found = by_path_.find(join(class_key, start_of(path)));
+  if (found != by_path_.end()) {
+    return found->second.value_ms;
+  }
+  auto by_class = by_class_.find(class_key);
+  return by_class == by_class_.end() ? initial_cost_ms
+                                     : by_class->second.value_ms;
+}
+
+}  // namespace vanillaladder::scheduling
--- /dev/null
+++ b/packages/scheduling/test/retry_budget_test.cc
@@ -0,0 +1,45 @@
+#include "scheduling/retry_budget.h"
+
+#include <catch2/catch.hpp>
+
+namespace vanillaladder::scheduling {
+namespace {
+
+using namespace std::chrono_literals;
+
+const model::time_point start = model::time_point() + 1h;
+
+}  // namespace
+
+// Guards against retries that multiply the load when most servers fail.
+TEST_CASE("retries stay within their share over many windows") {
+  retry_budget budget;
+  int admitted = 0;
+  int retries = 0;
+  for (auto now = start; now < start + 200s; now += 5ms) {
+    budget.admit(now);
+    ++admitted;
+    if (budget.allows(now)) {
+      budget.spend(now);
+      ++retries;
+    }
+  }
+  CHECK(retries * 10 <= admitted);
+  CHECK(retries * 11 >= admitted);
+}
+
+// Guards against a quiet daemon that can never retry, and against a budget of
+// zero that still allows the floor.
+TEST_CASE("a quiet daemon has the floor and none at zero percent") {
+  retry_budget budget;
+  for (std::uint64_t n = 0; n < retry_budget::floor_retries; ++n) {
+    CHECK(budget.allows(start));
+    budget.spend(start);
+  }
+  CHECK_FALSE(budget.allows(start));
+  CHECK(budget.allows(start + 30s));
+  budget.set_percent(0);
+  CHECK_FALSE(budget.allows(start + 30s));
+}
+
+}  // namespace vanillaladder::scheduling
--- /dev/null
+++ b/packages/serving/include/serving/request_machine.h
@@ -0,0 +1,235 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "scheduling/admission.h"
+#include "scheduling/request_queue.h"
+#include "scheduling/request_state.h"
+#include "scheduling/retry_budget.h"
+#include "scheduling/router.h"
+#include "serving/detail/backend_table.h"
+#include "serving/ports.h"
+#include "serving/view.h"
+
+namespace vanillaladder::serving {
+
+using scheduling::request_id;
+
+/// Variants of the decisions; the defaults are used by the daemon, others by
+/// benchmarks.
+struct machine_options {
+  scheduling::queue_order order = scheduling::queue_order::fair;
+  scheduling::routing_policy routing = scheduling::routing_policy::least_load;
+  /// Refuse requests early that are expected to miss their deadline.
+  bool check_expected_wait = true;
+  milliseconds request_timeout_ms{30000};
+};
+
+/// What the machine needs to know about a request.
+struct request_facts {
+  std::string service;
+  model::class_id request_class;
+  model::team_id team;
+  std::string path;
+  bool idempotent = false;
+  /// Its key must be claimed before it is sent.
+  bool needs_claim = false;
+  /// Sent by a peer: never forwarded, never kept waiting for a slot.
+  bool forwarded = false;
+  model::time_point deadline{};
+};
+
+/// Claim the request's key, then call `claim_granted` or `withdraw`.
+struct claim_action {
+  request_id id;
+  milliseconds remaining;
+};
+/// Send the request to a backend server, then call `attempt_ended`.
+struct send_action {
+  request_id id;
+  unsigned attempt;
+  model::backend_info target;
+  milliseconds timeout;
+};
+/// Forward the request to a peer, then call `attempt_ended`.
+struct forward_action {
+  request_id id;
+  unsigned attempt;
+  model::instance_id member;
+  milliseconds timeout;
+};
+/// Pass on the response that `attempt_ended` reported; ends the request.
+struct deliver_action {
+  request_id id;
+};
+/// Answer "not run"; ends the request.
+struct refuse_action {
+  request_id id;
+  scheduling::refusal_reason reason;
+};
+/// Answer "unknown"; ends the request.
+struct fail_action {
+  request_id id;
+  int status;
+  std::string_view reason;
+};
+/// Nobody waits for the answer any more; ends the request.
+struct drop_action {
+  request_id id;
+  key_outcome outcome;
+};
+/// The request waits for another attempt; for counters only.
+struct retry_notice {
+  request_id id;
+  scheduling::attempt_end cause;
+};
+/// A backend server was ejected or readmitted; for counters only.
+struct health_notice {
+  model::backend_id backend;
+  scheduling::health_change change;
+};
+using action = std::variant<claim_action, send_action, forward_action,
+                            deliver_action, refuse_action, fail_action,
+                            drop_action, retry_notice, health_notice>;
+using action_list = std::vector<action>;
+
+/// How an attempt ended.
+struct attempt_result {
+  scheduling::attempt_end end = scheduling::attempt_end::responded;
+  /// Whether the response had a status of 500 or above.
+  bool server_error = false;
+};
+
+/// All decisions about requests of one daemon, without I/O or clock.
+///
+/// Every event returns the actions to execute, in order. Ids are chosen by
+/// the caller and never reused.
+class request_machine {
+ public:
+  explicit request_machine(const machine_options& options = {});
+
+  /// Replaces the view.
+  action_list update(const serving_view& view, model::time_point now);
+  /// A request arrived.
+  action_list arrive(request_id id, const request_facts& facts,
+                     model::time_point now);
+  /// The request's key was claimed.
+  action_list claim_granted(request_id id, model::time_point now);
+  /// Forgets a request whose key could not be claimed.
+  void withdraw(request_id id);
+  /// The caller has disconnected.
+  action_list disconnected(request_id id, model::time_point now);
+  /// An attempt ended. Results of attempts that were given up are ignored.
+  action_list attempt_ended(request_id id, unsigned attempt,
+                            const attempt_result& result,
+                            model::time_point now);
+  /// The shell found the view stale right before it would have sent.
+  action_list attempt_cancelled(request_id id, unsigned attempt,
+                                model::time_point now);
+  /// Time has passed.
+  action_list tick(model::time_point now);
+
+  /// @return when `tick` must be called at the latest, `max` if never.
+  model::time_point next_wakeup() const;
+  /// @return whether the view may be used for sending at `now`.
+  bool fresh(model::time_point now) const;
+  /// @return whether the view is fresh and does not ask for a stop.
+  bool serves_callers(model::time_point now) const {
+    return fresh(now) && !view_.draining;
+  }
+  /// @return the configured deadline of a class.
+  milliseconds class_deadline(const model::class_id& name) const;
+  /// @return whether the attempt is the request's current one.
+  bool is_current(request_id id, unsigned attempt) const;
+  /// @return whether the request is known and has not ended.
+  bool is_open(request_id id) const { return requests_.contains(id); }
+  std::size_t open_requests() const { return requests_.size(); }
+  /// @return a label such as "queued", for counters.
+  std::string_view phase_name(request_id id) const;
+
+  /// @return slots free for forwarded requests, by service.
+  std::map<std::string, unsigned> free_slots(model::time_point now) const;
+  /// @return exchanges in progress by backend server.
+  std::map<model::backend_id, unsigned> in_flight() const;
+
+ private:
+  enum class phase { claiming, queued, sending, forwarding };
+
+  struct open_request {
+    request_facts facts;
+    scheduling::request_state state;
+    phase current = phase::queued;
+    model::time_point arrived{};
+    double expected_cost_ms = 0;
+    /// A slot was free on arrival, so the request is tried however little
+    /// time it has left.
+    bool try_regardless = false;
+    bool caller_gone = false;
+    std::string target{};
+    model::time_point sent_at{};
+    std::set<std::string> tried{};
+  };
+
+  const class_config& class_of(const model::class_id& name) const;
+  unsigned team_weight(const model::team_id& team) const;
+  std::optional<scheduling::refusal_reason> admit(open_request& request,
+                                                  model::time_point now) const;
+  std::optional<scheduling::refusal_reason> check_view(
+      const request_facts& facts, model::time_point now) const;
+  scheduling::admission_input admission_of(const open_request& request,
+                                           model::time_point now) const;
+  bool slot_free(const request_facts& facts, model::time_point now) const;
+  std::size_t waiting() const;
+
+  void enqueue(request_id id, open_request& request);
+  void dispatch_all(model::time_point now, action_list& out);
+  void dispatch(const std::string& service, model::time_point now,
+                action_list& out);
+  /// Ends all waiting requests of a service that may not be sent now.
+  bool flush_unservable(const std::string& service, model::time_point now,
+                        action_list& out);
+  /// @return whether the request no longer waits.
+  bool place(request_id id, model::time_point now, action_list& out);
+  void send(request_id id, open_request& request,
+            const model::backend_id& target, model::time_point now,
+            action_list& out);
+  void forward(request_id id, open_request& request,
+               const model::instance_id& member, model::time_point now,
+               action_list& out);
+  milliseconds time_left(const open_request& request,
+                         model::time_point now) const;
+
+  void release(const open_request& request, const attempt_result& result,
+               model::time_point now, action_list& out);
+  void learn(const open_request& request, const attempt_result& result,
+             model::time_point now, action_list& out);
+  void apply(request_id id, const scheduling::next_step& step,
+             action_list& out);
+  void retry(request_id id, scheduling::attempt_end cause, bool from_backend,
+             model::time_point now, action_list& out);
+  void end_unwatched(request_id id, const attempt_result& result,
+                     action_list& out);
+  void give_up(request_id id, scheduling::refusal_reason reason,
+               action_list& out);
+  void expire(model::time_point now, action_list& out);
+  void forget(request_id id);
+
+  machine_options options_;
+  serving_view view_;
+  bool has_view_ = false;
+  detail::backend_table table_;
+  scheduling::cost_estimator costs_;
+  scheduling::retry_budget budget_;
+  std::size_t claiming_ = 0;
+  std::map<request_id, open_request> requests_;
+  std::map<std::string, scheduling::request_queue> queues_;
+  /// Deadlines of all requests that no exchange's own timeout ends.
+  std::set<std::pair<model::time_point, request_id>> deadlines_;
+};
+
+}  // namespace vanillaladder::serving
--- /dev/null
+++ b/packages/serving/src/request_machine.cc
@@ -0,0 +1,343 @@
+#include "serving/request_machine.h"
+
+#include <algorithm>
+
+namespace vanillaladder::serving {
+namespace {
+
+using scheduling::attempt_end;
+using scheduling::refusal_reason;
+
+const class_config default_class;
+// Requests of classes that are not configured share one name, so that callers
+// cannot grow the cost tables by inventing classes.
+constexpr std::string_view default_class_name = "default";
+
+double as_ms(model::time_point::duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+request_machine::request_machine(const machine_options& options)
+    : options_(options), table_(options.routing) {}
+
+bool request_machine::fresh(model::time_point now) const {
+  return has_view_ && view_.fresh && now < view_.fresh_until;
+}
+
+action_list request_machine::update(const serving_view& view,
+                                    model::time_point now) {
+  action_list out;
+  view_ = view;
+  has_view_ = true;
+  table_.update(view);
+  budget_.set_percent(view.retry.budget_percent);
+  for (auto& [service, queue] : queues_) {
+    queue.set_alpha(view.queue.alpha);
+  }
+  expire(now, out);
+  dispatch_all(now, out);
+  return out;
+}
+
+const class_config& request_machine::class_of(
+    const model::class_id& name) const {
+  auto found = view_.classes.find(name);
+  return found == view_.classes.end() ? default_class : found->second;
+}
+
+milliseconds request_machine::class_deadline(
+    const model::class_id& name) const {
+  return class_of(name).deadline_ms;
+}
+
+unsigned request_machine::team_weight(const model::team_id& team) const {
+  auto found = view_.teams.find(team);
+  return found == view_.teams.end() ? team_config{}.weight
+                                    : found->second.weight;
+}
+
+action_list request_machine::arrive(request_id id, const request_facts& facts,
+                                    model::time_point now) {
+  action_list out;
+  open_request request{.facts = facts,
+                       .state = scheduling::request_state(facts.idempotent),
+                       .arrived = now};
+  if (!view_.classes.contains(facts.request_class)) {
+    request.facts.request_class = default_class_name;
+  }
+  request.expected_cost_ms =
+      costs_.expect(facts.service, request.facts.request_class, facts.path);
+  auto& added = requests_.emplace(id, std::move(request)).first->second;
+  if (auto reason = admit(added, now)) {
+    give_up(id, *reason, out);
+    return out;
+  }
+  if (!facts.forwarded) {
+    budget_.admit(now);
+  }
+  deadlines_.emplace(facts.deadline, id);
+  if (facts.needs_claim) {
+    added.current = phase::claiming;
+    ++claiming_;
+    out.emplace_back(claim_action{id, time_left(added, now)});
+    return out;
+  }
+  enqueue(id, added);
+  dispatch(facts.service, now, out);
+  return out;
+}
+
+std::optional<refusal_reason> request_machine::check_view(
+    const request_facts& facts, model::time_point now) const {
+  if (!fresh(now)) {
+    return refusal_reason::stale_view;
+  }
+  if (facts.forwarded && view_.draining) {
+    return refusal_reason::draining;
+  }
+  if (!table_.knows(facts.service)) {
+    return refusal_reason::unknown_service;
+  }
+  if (!table_.accepts(facts.service)) {
+    return refusal_reason::no_backend;
+  }
+  return std::nullopt;
+}
+
+bool request_machine::slot_free(const request_facts& facts,
+                                model::time_point now) const {
+  auto queue = queues_.find(facts.service);
+  if (queue != queues_.end() && !queue->second.empty()) {
+    return false;
+  }
+  return table_.free_slots(facts.service, now) > 0 ||
+         (!facts.forwarded && table_.choose_peer(facts.service, {}));
+}
+
+std::size_t request_machine::waiting() const {
+  std::size_t count = claiming_;
+  for (const auto& [service, queue] : queues_) {
+    count += queue.size();
+  }
+  return count;
+}
+
+scheduling::admission_input request_machine::admission_of(
+    const open_request& request, model::time_point now) const {
+  const auto& facts = request.facts;
+  scheduling::admission_input input{
+      .queued = waiting(),
+      .max_queued = view_.queue.max_queued,
+      .slots = table_.slots(facts.service),
+      .slot_free = request.try_regardless,
+      .team_weight = static_cast<double>(team_weight(facts.team)),
+      .expected_cost_ms = request.expected_cost_ms,
+      .remaining_ms = as_ms(facts.deadline - now)};
+  input.active_weight = input.team_weight;
+  auto found = queues_.find(facts.service);
+  if (found != queues_.end()) {
+    const auto& queue = found->second;
+    input.backlog_ms = queue.backlog_ms();
+    input.team_backlog_ms = queue.backlog_ms(facts.team);
+    bool counted = input.team_backlog_ms > 0;
+    input.active_weight =
+        queue.active_weight() + (counted ? 0 : input.team_weight);
+  }
+  return input;
+}
+
+std::optional<refusal_reason> request_machine::admit(
+    open_request& request, model::time_point now) const {
+  if (auto reason = check_view(request.facts, now)) {
+    return reason;
+  }
+  request.try_regardless = slot_free(request.facts, now);
+  if (request.facts.forwarded) {
+    // The sender may still try another peer; waiting here would hide that.
+    return request.try_regardless ? std::nullopt
+                                  : std::optional(refusal_reason::no_backend);
+  }
+  auto input = admission_of(request, now);
+  if (!options_.check_expected_wait) {
+    input.expected_cost_ms = 0;
+    input.backlog_ms = 0;
+  }
+  return scheduling::decide_admission(input);
+}
+
+action_list request_machine::claim_granted(request_id id,
+                                           model::time_point now) {
+  action_list out;
+  auto found = requests_.find(id);
+  if (found == requests_.end() || found->second.current != phase::claiming) {
+    return out;
+  }
+  --claiming_;
+  enqueue(id, found->second);
+  dispatch(std::string(found->second.facts.service), now, out);
+  return out;
+}
+
+void request_machine::withdraw(request_id id) {
+  forget(id);
+}
+
+action_list request_machine::disconnected(request_id id,
+                                          model::time_point now) {
+  action_list out;
+  auto found = requests_.find(id);
+  if (found == requests_.end()) {
+    return out;
+  }
+  auto& request = found->second;
+  if (request.current == phase::sending ||
+      request.current == phase::forwarding) {
+    // The attempt may run, so its slot stays in use until it has ended.
+    request.caller_gone = true;
+    return out;
+  }
+  std::string service = request.facts.service;
+  out.emplace_back(drop_action{id, request.state.may_have_run()
+                                       ? key_outcome::unknown
+                                       : key_outcome::not_run});
+  forget(id);
+  dispatch(service, now, out);
+  return out;
+}
+
+bool request_machine::is_current(request_id id, unsigned attempt) const {
+  auto found = requests_.find(id);
+  return found != requests_.end() &&
+         (found->second.current == phase::sending ||
+          found->second.current == phase::forwarding) &&
+         found->second.state.attempts() == attempt;
+}
+
+action_list request_machine::attempt_ended(request_id id, unsigned attempt,
+                                           const attempt_result& result,
+                                           model::time_point now) {
+  action_list out;
+  if (!is_current(id, attempt)) {
+    return out;
+  }
+  auto& request = requests_.at(id);
+  std::string service = request.facts.service;
+  bool from_backend = request.current == phase::sending;
+  release(request, result, now, out);
+  // A peer's refusal costs no backend server anything; `max_attempts` limits
+  // it.
+  bool budget_allows = !from_backend || budget_.allows(now);
+  auto step = request.state.end_attempt(
+      result.end, request.caller_gone ? 0 : view_.retry.max_attempts,
+      budget_allows);
+  if (request.caller_gone) {
+    end_unwatched(id, result, out);
+  } else if (std::holds_alternative<scheduling::retry_request>(step)) {
+    retry(id, result.end, from_backend, now, out);
+  } else {
+    apply(id, step, out);
+  }
+  expire(now, out);
+  dispatch(service, now, out);
+  return out;
+}
+
+void request_machine::end_unwatched(request_id id, const attempt_result& result,
+                                    action_list& out) {
+  auto outcome = key_outcome::not_run;
+  if (result.end == attempt_end::responded) {
+    outcome = key_outcome::answered;
+  } else if (requests_.at(id).state.may_have_run()) {
+    outcome = key_outcome::unknown;
+  }
+  out.emplace_back(drop_action{id, outcome});
+  forget(id);
+}
+
+action_list request_machine::attempt_cancelled(request_id id, unsigned attempt,
+                                               model::time_point now) {
+  action_list out;
+  if (!is_current(id, attempt)) {
+    return out;
+  }
+  auto& request = requests_.at(id);
+  std::string service = request.facts.service;
+  release(request, {.end = attempt_end::abandoned}, now, out);
+  // Nothing was sent; this only closes the attempt.
+  request.state.end_attempt(attempt_end::not_sent, 0, false);
+  give_up(id, refusal_reason::stale_view, out);
+  dispatch(service, now, out);
+  return out;
+}
+
+action_list request_machine::tick(model::time_point now) {
+  action_list out;
+  expire(now, out);
+  dispatch_all(now, out);
+  return out;
+}
+
+void request_machine::expire(model::time_point now, action_list& out) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    request_id id = deadlines_.begin()->second;
+    auto& request = requests_.at(id);
+    if (request.current == phase::forwarding) {
+      attempt_result result{.end = attempt_end::timed_out};
+      release(request, result, now, out);
+      auto step = request.state.end_attempt(result.end, 0, false);
+      if (request.caller_gone) {
+        end_unwatched(id, result, out);
+      } else {
+        apply(id, step, out);
+      }
+      continue;
+    }
+    give_up(id, refusal_reason::deadline, out);
+  }
+}
+
+model::time_point request_machine::next_wakeup() const {
+  auto next =
+      deadlines_.empty() ? model::time_point::max() : deadlines_.begin()->first;
+  if (waiting() > claiming_) {
+    next = std::min({next, table_.health().next_probe(), view_.fresh_until});
+  }
+  return next;
+}
+
+std::string_view request_machine::phase_name(request_id id) const {
+  auto found = requests_.find(id);
+  if (found == requests_.end()) {
+    return "ended";
+  }
+  switch (found->second.current) {
+    case phase::claiming:
+      return "claiming";
+    case phase::queued:
+      return "queued";
+    case phase::sending:
+      return "sending";
+    case phase::forwarding:
+      return "forwarding";
+  }
+  return "unknown";
+}
+
+std::map<std::string, unsigned> request_machine::free_slots(
+    model::time_point now) const {
+  auto slots = table_.free_slots(now);
+  if (!fresh(now) || view_.draining) {
+    for (auto& [service, count] : slots) {
+      count = 0;
+    }
+  }
+  return slots;
+}
+
+std::map<model::backend_id, unsigned> request_machine::in_flight() const {
+  return table_.in_flight();
+}
+
+}  // namespace vanillaladder::serving
