Add mailboxes, tasks, supervisor, settings and metrics to runtime

Cause: the daemon needs bounded messages between its tasks, a restart rule, settings with complete error reports, and counters for every refusal and retry reason. Ruled out: a condition_variable without stop token (a receiver could not be woken by a graceful stop); reading the clock inside the restart budget (its limit could not be tested without waiting); the weight accumulator of Boost.Histogram (fills are not thread-safe). Change: mailbox, task, supervisor with restart_budget, settings (toml++), metrics (Boost.Histogram with thread_safe counts), nearest_name. Conclusion: the daemon can be written against these headers.

--- a/packages/runtime/include/runtime/error.h
+++ b/packages/runtime/include/runtime/error.h
@@ -24,4 +24,8 @@
 /// @return the peer of an error from `make_error`, empty otherwise.
 std::string error_peer(const absl::Status& status);
 
+/// @return the message of a status; Abseil's own string view type is not
+///   `std::string_view` in Debian's build.
+std::string error_message(const absl::Status& status);
+
 }  // namespace vanillaladder::runtime
--- /dev/null
+++ b/packages/runtime/include/runtime/mailbox.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <stop_token>
+#include <utility>
+
+namespace vanillaladder::runtime {
+
+enum class push_result {
+  accepted,
+  /// The mailbox holds its limit; the sender must refuse or slow down.
+  full,
+  /// The receiver has gone.
+  closed,
+};
+
+/// A bounded queue of messages to one task; every member is thread-safe.
+template <class Message>
+class mailbox {
+ public:
+  /// @param limit messages that may wait, at least 1.
+  explicit mailbox(std::size_t limit) : limit_(limit == 0 ? 1 : limit) {}
+  mailbox(const mailbox&) = delete;
+  mailbox& operator=(const mailbox&) = delete;
+
+  /// Adds a message without blocking.
+  /// @param message moved from only if the result is `accepted`.
+  push_result push(Message&& message) {
+    {
+      std::lock_guard lock(mutex_);
+      if (closed_) {
+        return push_result::closed;
+      }
+      if (messages_.size() >= limit_) {
+        return push_result::full;
+      }
+      messages_.push_back(std::move(message));
+    }
+    changed_.notify_one();
+    return push_result::accepted;
+  }
+
+  /// Waits for a message.
+  /// @return the oldest message; nothing once the mailbox is closed and empty,
+  ///   or as soon as `stop` is requested.
+  std::optional<Message> pop(std::stop_token stop = {}) {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, stop, [this] { return closed_ || !messages_.empty(); });
+    if (stop.stop_requested()) {
+      return std::nullopt;
+    }
+    return take_first();
+  }
+
+  /// @return the oldest message, or nothing if none waits.
+  std::optional<Message> try_pop() {
+    std::lock_guard lock(mutex_);
+    return take_first();
+  }
+
+  /// Refuses later messages; those that wait can still be taken.
+  void close() {
+    {
+      std::lock_guard lock(mutex_);
+      closed_ = true;
+    }
+    changed_.notify_all();
+  }
+
+  /// @return messages that wait.
+  std::size_t size() const {
+    std::lock_guard lock(mutex_);
+    return messages_.size();
+  }
+
+ private:
+  /// Requires `mutex_`.
+  std::optional<Message> take_first() {
+    if (messages_.empty()) {
+      return std::nullopt;
+    }
+    std::optional<Message> first(std::move(messages_.front()));
+    messages_.pop_front();
+    return first;
+  }
+
+  const std::size_t limit_;
+  mutable std::mutex mutex_;
+  std::condition_variable_any changed_;
+  std::deque<Message> messages_;
+  bool closed_ = false;
+};
+
+}  // namespace vanillaladder::runtime
--- a/packages/runtime/src/error.cc
+++ b/packages/runtime/src/error.cc
@@ -42,4 +42,8 @@
   return payload(status, peer_url);
 }
 
+std::string error_message(const absl::Status& status) {
+  return std::string(status.message());
+}
+
 }  // namespace vanillaladder::runtime
--- /dev/null
+++ b/packages/runtime/src/metrics.cc
@@ -0,0 +1,281 @@
+#include "runtime/metrics.h"
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <charconv>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <mutex>
+#include <stdexcept>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace vanillaladder::runtime {
+namespace {
+
+namespace histogram_lib = boost::histogram;
+
+constexpr unsigned bucket_count = 36;
+constexpr double lowest_s = 1e-4;
+constexpr double highest_s = 100.0;
+
+using log_axis =
+    histogram_lib::axis::regular<double, histogram_lib::axis::transform::log>;
+// Thread-safe counts make concurrent fills safe on an axis that never grows.
+using storage = histogram_lib::dense_storage<
+    histogram_lib::accumulators::thread_safe<std::uint64_t>>;
+using histogram_type = histogram_lib::histogram<std::tuple<log_axis>, storage>;
+
+std::string number(double value) {
+  if (std::isinf(value)) {
+    return value > 0 ? "+Inf" : "-Inf";
+  }
+  std::array<char, 32> buffer{};
+  auto [end, error] =
+      std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+  return error == std::errc() ? std::string(buffer.data(), end) : "NaN";
+}
+
+/// Escapes a label value, or a help text, of the Prometheus format.
+std::string escaped(std::string_view text, bool quotes) {
+  std::string result;
+  for (char c : text) {
+    if (c == '\\') {
+      result += "\\\\";
+    } else if (c == '\n') {
+      result += "\\n";
+    } else if (c == '"' && quotes) {
+      result += "\\\"";
+    } else {
+      result += c;
+    }
+  }
+  return result;
+}
+
+}  // namespace
+
+struct latency_histogram::impl {
+  histogram_type buckets{
+      std::make_tuple(log_axis(bucket_count, lowest_s, highest_s))};
+  std::atomic<double> sum_s{0};
+
+  /// @return observations in bucket `index`; -1 is below, `bucket_count` above.
+  std::uint64_t at(int index) const { return buckets.at(index).load(); }
+  static double upper_bound(int index) {
+    return index < 0 ? lowest_s
+                     : std::exp(std::log(lowest_s) +
+                                (std::log(highest_s) - std::log(lowest_s)) *
+                                    (index + 1) / bucket_count);
+  }
+};
+
+latency_histogram::latency_histogram() : impl_(std::make_unique<impl>()) {}
+latency_histogram::~latency_histogram() = default;
+
+void latency_histogram::observe(std::chrono::nanoseconds latency) {
+  double seconds = std::chrono::duration<double>(latency).count();
+  impl_->buckets(seconds);
+  impl_->sum_s.fetch_add(seconds, std::memory_order_relaxed);
+}
+
+std::uint64_t latency_histogram::count() const {
+  std::uint64_t total = 0;
+  for (int index = -1; index <= static_cast<int>(bucket_count); ++index) {
+    total += impl_->at(index);
+  }
+  return total;
+}
+
+double latency_histogram::quantile(double q) const {
+  auto total = count();
+  if (total == 0) {
+    return 0;
+  }
+  double wanted = q * static_cast<double>(total);
+  std::uint64_t seen = 0;
+  for (int index = -1; index < static_cast<int>(bucket_count); ++index) {
+    seen += impl_->at(index);
+    if (seen > 0 && static_cast<double>(seen) >= wanted) {
+      return impl::upper_bound(index);
+    }
+  }
+  return std::numeric_limits<double>::infinity();
+}
+
+std::span<const std::string_view> refusal_reasons() {
+  static constexpr std::array<std::string_view, 11> reasons{
+      "queue-full",     "team-share",      "retry-budget",
+      "deadline",       "no-backend",      "stale-view",
+      "draining",       "log-unavailable", "key-owner-unavailable",
+      "connect-failed", "unknown-service"};
+  return reasons;
+}
+
+std::span<const std::string_view> retry_reasons() {
+  static constexpr std::array<std::string_view, 3> reasons{
+      "connect-failed", "refused", "connection-closed"};
+  return reasons;
+}
+
+namespace {
+
+using series = std::variant<std::unique_ptr<counter>, std::unique_ptr<gauge>,
+                            std::unique_ptr<latency_histogram>>;
+
+struct family {
+  std::string label;
+  std::map<std::string, series, std::less<>> by_value;
+};
+
+std::string_view type_name(const series& one) {
+  static constexpr std::array<std::string_view, 3> names{"counter", "gauge",
+                                                         "histogram"};
+  return names[one.index()];
+}
+
+std::string label_text(const std::string& label, std::string_view value,
+                       std::string_view upper_bound = "") {
+  std::string text;
+  if (!label.empty()) {
+    text += label + "=\"" + escaped(value, true) + "\"";
+  }
+  if (!upper_bound.empty()) {
+    text += text.empty() ? "" : ",";
+    text.append("le=\"").append(upper_bound).append("\"");
+  }
+  return text.empty() ? text : "{" + text + "}";
+}
+
+}  // namespace
+
+struct metrics::impl {
+  template <class Metric>
+  Metric& find(std::string_view name, std::string_view label,
+               std::string_view value);
+
+  mutable std::mutex mutex;
+  std::map<std::string, family, std::less<>> families;
+  std::map<std::string, std::string, std::less<>> help;
+};
+
+/// Appends the lines of one series to `text`.
+struct metrics::series_writer {
+  const std::string& name;
+  const std::string& label;
+  const std::string& value;
+  std::string& text;
+
+  void line(std::string_view suffix, const std::string& labels,
+            const std::string& amount) const {
+    text.append(name).append(suffix).append(labels);
+    text.append(" ").append(amount).append("\n");
+  }
+
+  void operator()(const std::unique_ptr<runtime::counter>& one) const {
+    line("", label_text(label, value), std::to_string(one->value()));
+  }
+
+  void operator()(const std::unique_ptr<runtime::gauge>& one) const {
+    line("", label_text(label, value), number(one->value()));
+  }
+
+  void operator()(const std::unique_ptr<latency_histogram>& one) const {
+    const auto& state = *one->impl_;
+    std::uint64_t total = 0;
+    for (int index = -1; index <= static_cast<int>(bucket_count); ++index) {
+      total += state.at(index);
+      auto bound = index == static_cast<int>(bucket_count)
+                       ? std::numeric_limits<double>::infinity()
+                       : state.upper_bound(index);
+      line("_bucket", label_text(label, value, number(bound)),
+           std::to_string(total));
+    }
+    line("_sum", label_text(label, value), number(state.sum_s.load()));
+    line("_count", label_text(label, value), std::to_string(total));
+  }
+};
+
+template <class Metric>
+Metric& metrics::impl::find(std::string_view name, std::string_view label,
+                            std::string_view value) {
+  std::lock_guard lock(mutex);
+  auto& group = families[std::string(name)];
+  auto& all = group.by_value;
+  if (all.empty()) {
+    group.label = label;
+  }
+  auto found = all.find(value);
+  if (found == all.end()) {
+    bool full = all.size() >= max_series;
+    found = all.try_emplace(full ? "other" : std::string(value),
+                            std::make_unique<Metric>())
+                .first;
+  }
+  auto* one = std::get_if<std::unique_ptr<Metric>>(&found->second);
+  if (one == nullptr) {
+    throw std::logic_error("metric " + std::string(name) +
+                           " is used as two types");
+  }
+  return **one;
+}
+
+metrics::metrics() : impl_(std::make_unique<impl>()) {}
+metrics::~metrics() = default;
+
+runtime::counter& metrics::counter(std::string_view name,
+                                   std::string_view label,
+                                   std::string_view value) {
+  return impl_->find<runtime::counter>(name, label, value);
+}
+
+runtime::gauge& metrics::gauge(std::string_view name, std::string_view label,
+                               std::string_view value) {
+  return impl_->find<runtime::gauge>(name, label, value);
+}
+
+runtime::latency_histogram& metrics::histogram(std::string_view name,
+                                               std::string_view label,
+                                               std::string_view value) {
+  return impl_->find<latency_histogram>(name, label, value);
+}
+
+void metrics::declare_counters(std::string_view name, std::string_view label,
+                               std::span<const std::string_view> values) {
+  for (auto value : values) {
+    counter(name, label, value);
+  }
+}
+
+void metrics::declare_reasons() {
+  describe(requests_refused_total, "Requests refused as not run, by reason.");
+  declare_counters(requests_refused_total, "reason", refusal_reasons());
+  describe(requests_retried_total,
+           "Further attempts of requests, by the reason of the previous end.");
+  declare_counters(requests_retried_total, "reason", retry_reasons());
+}
+
+void metrics::describe(std::string_view name, std::string_view help) {
+  std::lock_guard lock(impl_->mutex);
+  impl_->help[std::string(name)] = help;
+}
+
+std::string metrics::prometheus_text() const {
+  std::lock_guard lock(impl_->mutex);
+  std::string text;
+  for (const auto& [name, group] : impl_->families) {
+    if (auto help = impl_->help.find(name); help != impl_->help.end()) {
+      text += "# HELP " + name + " " + escaped(help->second, false) + "\n";
+    }
+    text.append("# TYPE ").append(name).append(" ");
+    text.append(type_name(group.by_value.begin()->second)).append("\n");
+    for (const auto& [value, one] : group.by_value) {
+      std::visit(series_writer{name, group.label, value, text}, one);
+    }
+  }
+  return text;
+}
+
+}  // namespace vanillaladder::runtime
