--- a/packages/http/include/http/event_loop.h
+++ b/packages/http/include/http/event_loop.h
@@ -23,7 +23,7 @@
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
 
-  /// Runs until `stop`.
+  /// Runs until `stop`; may be called again afterwards.
   void run();
   /// Makes `run` return; may be called from any thread.
   void stop();
--- a/packages/http/src/event_loop.cc
+++ b/packages/http/src/event_loop.cc
@@ -110,6 +110,7 @@
     }
   }
   impl_->run_posted();
+  impl_->stopped = false;
 }
 
 void event_loop::stop() {
--- /dev/null
+++ b/packages/serving/test/request_machine_test.cc
@@ -0,0 +1,233 @@
+#include "serving/request_machine.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+namespace vanillaladder::serving {
+namespace {
+
+using namespace std::chrono_literals;
+using scheduling::attempt_end;
+
+/// Drives a machine with random events and checks every action against what
+/// was sent before.
+class random_run {
+ public:
+  explicit random_run(unsigned seed) : random_(seed) {
+    view_.fresh = true;
+    for (int n = 0; n < 4; ++n) {
+      backend_grant grant;
+      grant.info.id = "b" + std::to_string(n);
+      grant.info.service = "quotes";
+      grant.granted_slots = 2;
+      view_.backends.push_back(grant);
+    }
+    view_.peers = {{"p1", {{"quotes", 3}}}, {"p2", {{"quotes", 1}}}};
+    check(machine_.update(view_, now_));
+  }
+
+  void step() {
+    now_ += milliseconds(pick(20));
+    switch (pick(8)) {
+      case 0:
+      case 1:
+      case 2:
+        arrive();
+        break;
+      case 3:
+        change_view();
+        break;
+      case 4:
+        if (auto id = pick_from(claiming_)) {
+          claiming_.erase(*id);
+          check(machine_.claim_granted(*id, now_));
+        }
+        break;
+      case 5:
+        if (auto id = pick_from(open_)) {
+          check(machine_.disconnected(*id, now_));
+        }
+        break;
+      case 6:
+        check(machine_.tick(now_));
+        break;
+      default:
+        end_attempt();
+    }
+  }
+
+  void finish() {
+    now_ += 60s;
+    while (!attempts_.empty()) {
+      end_attempt();
+    }
+    check(machine_.tick(now_));
+    CHECK(open_.empty());
+    CHECK(machine_.open_requests() == 0);
+    CHECK(machine_.in_flight().empty());
+  }
+
+ private:
+  struct attempt {
+    request_id id;
+    unsigned number;
+    std::string backend;
+  };
+  struct history {
+    bool idempotent = false;
+    bool may_have_run = false;
+    bool may_be_running = false;
+  };
+
+  unsigned pick(unsigned limit) {
+    return std::uniform_int_distribution<unsigned>(0, limit - 1)(random_);
+  }
+  std::optional<request_id> pick_from(const std::set<request_id>& ids) {
+    if (ids.empty()) {
+      return std::nullopt;
+    }
+    return *std::next(ids.begin(), pick(static_cast<unsigned>(ids.size())));
+  }
+
+  void arrive() {
+    request_facts facts{.service = "quotes",
+                        .request_class = "c",
+                        .team = pick(2) == 0 ? "a" : "b",
+                        .path = "/quotes/x",
+                        .idempotent = pick(2) == 0,
+                        .forwarded = pick(4) == 0,
+                        .deadline = now_ + milliseconds(1 + pick(400))};
+    facts.needs_claim = !facts.idempotent && !facts.forwarded && pick(2) == 0;
+    request_id id = ++last_id_;
+    open_.insert(id);
+    history_[id].idempotent = facts.idempotent;
+    if (facts.needs_claim) {
+      claiming_.insert(id);
+    }
+    check(machine_.arrive(id, facts, now_));
+  }
+
+  void change_view() {
+    view_.fresh = pick(8) != 0;
+    for (auto& grant : view_.backends) {
+      grant.granted_slots = pick(4);
+      grant.accepts_work = pick(4) != 0;
+    }
+    check(machine_.update(view_, now_));
+  }
+
+  void end_attempt() {
+    if (attempts_.empty()) {
+      return;
+    }
+    auto index = pick(static_cast<unsigned>(attempts_.size()));
+    auto current = attempts_[index];
+    attempts_.erase(attempts_.begin() + index);
+    constexpr attempt_end ends[] = {
+        attempt_end::responded, attempt_end::responded, attempt_end::not_sent,
+        attempt_end::refused,   attempt_end::closed,    attempt_end::timed_out,
+        attempt_end::abandoned};
+    auto end = ends[pick(std::size(ends))];
+    auto& past = history_[current.id];
+    past.may_have_run = past.may_have_run || (end != attempt_end::not_sent &&
+                                              end != attempt_end::refused);
+    past.may_be_running =
+        end == attempt_end::timed_out || end == attempt_end::abandoned;
+    check(
+        machine_.attempt_ended(current.id, current.number, {.end = end}, now_));
+  }
+
+  void check(const action_list& actions) {
+    for (const auto& what : actions) {
+      std::visit([this](const auto& each) { check(each); }, what);
+    }
+    for (const auto& id : claiming_) {
+      CHECK(open_.contains(id));
+    }
+  }
+  void check_send(request_id id) {
+    const auto& past = history_[id];
+    CHECK(open_.contains(id));
+    CHECK_FALSE(claiming_.contains(id));
+    CHECK(view_.fresh);
+    CHECK_FALSE(past.may_be_running);
+    CHECK((past.idempotent || !past.may_have_run));
+    for (const auto& other : attempts_) {
+      CHECK(other.id != id);
+    }
+  }
+  void check(const send_action& what) {
+    check_send(what.id);
+    attempts_.push_back({what.id, what.attempt, what.target.id});
+    auto held = std::count_if(
+        attempts_.begin(), attempts_.end(),
+        [&](const auto& other) { return other.backend == what.target.id; });
+    for (const auto& grant : view_.backends) {
+      if (grant.info.id == what.target.id) {
+        CHECK(grant.accepts_work);
+        CHECK(held <= grant.granted_slots);
+      }
+    }
+  }
+  void check(const forward_action& what) {
+    check_send(what.id);
+    // A peer that never answers ends with the request's deadline.
+    history_[what.id].may_have_run = true;
+    if (pick(2) == 0) {
+      history_[what.id].may_have_run = false;
+      attempts_.push_back({what.id, what.attempt, ""});
+    }
+  }
+  void check(const refuse_action& what) {
+    CHECK_FALSE(history_[what.id].may_have_run);
+    end(what.id);
+  }
+  void check(const deliver_action& what) { end(what.id); }
+  void check(const fail_action& what) { end(what.id); }
+  void check(const drop_action& what) {
+    if (what.outcome == key_outcome::not_run) {
+      CHECK_FALSE(history_[what.id].may_have_run);
+    }
+    end(what.id);
+  }
+  void check(const claim_action& what) { CHECK(claiming_.contains(what.id)); }
+  void check(const retry_notice&) {}
+  void check(const health_notice&) {}
+
+  void end(request_id id) {
+    CHECK(open_.erase(id) == 1);
+    claiming_.erase(id);
+  }
+
+  std::mt19937 random_;
+  request_machine machine_;
+  serving_view view_;
+  model::time_point now_ = model::time_point() + 1h;
+  request_id last_id_ = 0;
+  std::set<request_id> open_;
+  std::set<request_id> claiming_;
+  std::map<request_id, history> history_;
+  std::vector<attempt> attempts_;
+};
+
+}  // namespace
+
+// Guards against any order of events that sends a request twice at a time,
+// repeats one that may not be repeated, exceeds a grant, uses a stale view or
+// a leaving server, ends a request twice or never, or says "not run" of a
+// request that may have run.
+TEST_CASE("random events never break the delivery rules") {
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    INFO("seed " << seed);
+    random_run run(seed);
+    for (int n = 0; n < 1500; ++n) {
+      run.step();
+    }
+    run.finish();
+  }
+}
+
+}  // namespace vanillaladder::serving
