Add the daemon with its control plane

Cause: the packages had no process that connects them.

Ruled out: placing workers on all 16 shards. With 50 workers in 4 domains a shard then has less than one worker per domain, so a job of that shard has nowhere to go when its domain is taken out. Workers and jobs use 4 shards now; idempotency keys keep all 16.

Change: Thrift links between members, the control stream, shard drivers, operators' and jobs' API, views for the front, graceful stop, and the binary vanillaladderd under a supervisor.

--- /dev/null
+++ b/packages/control/include/control/control_plane.h
@@ -0,0 +1,219 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <stop_token>
+#include <string>
+#include <vector>
+
+#include "control/config_api.h"
+#include "control/control_stream.h"
+#include "control/peer_mesh.h"
+#include "control/peer_server.h"
+#include "control/shard_set.h"
+#include "coordination/slot_grants.h"
+#include "coordination/view_freshness.h"
+#include "http/event_loop.h"
+#include "platform/http_instance_list.h"
+#include "platform/http_log_service.h"
+#include "platform/http_worker_service.h"
+#include "runtime/metrics.h"
+#include "runtime/settings.h"
+#include "serving/view.h"
+
+namespace vanillaladder::control {
+
+/// What the front reports after it has taken a view over.
+struct front_status {
+  std::map<model::backend_id, unsigned> in_flight;
+  std::map<std::string, unsigned> free_slots;
+};
+
+/// The front as the control side sees it; functions may be called from any
+/// thread, callbacks run on the front's thread.
+class front_gate {
+ public:
+  virtual ~front_gate() = default;
+  virtual void update(const serving::serving_view& view,
+                      std::function<void(front_status)> applied) = 0;
+  virtual void forward(http::request message, model::milliseconds remaining,
+                       std::function<void(http::response)> done) = 0;
+  /// Completes the accepted requests and refuses new ones.
+  virtual void drain(std::function<void()> idle) = 0;
+};
+
+class control_plane;
+
+/// Reaches the present control plane from other threads; empty while it is
+/// being restarted.
+class control_channel {
+ public:
+  /// Runs `task` on the control plane's thread.
+  /// @return false if there is no control plane now; `task` is dropped.
+  bool post(std::function<void(control_plane&)> task);
+
+ private:
+  friend class control_plane;
+  std::mutex mutex_;
+  control_plane* plane_ = nullptr;
+};
+
+/// Everything of a daemon but the interactive path: follows the control
+/// stream, exchanges heartbeats, owns shards, publishes views to the front.
+class control_plane : public peer_handler {
+ public:
+  struct options {
+    runtime::daemon_settings settings;
+    std::uint16_t operator_port = 0;
+  };
+
+  /// @param front, channel, metrics must outlive the plane.
+  control_plane(const options& settings, front_gate& front,
+                control_channel& channel, runtime::metrics& metrics);
+  ~control_plane() override;
+
+  /// Binds the peer port.
+  absl::Status listen();
+  std::uint16_t peer_port() const { return server_->port(); }
+
+  /// Runs until `stop`, or until a drain has completed.
+  /// @return `OkStatus` after a drain or stop, `Aborted` if other members
+  ///   removed this incarnation; the caller then builds a new plane.
+  absl::Status run(std::stop_token stop);
+
+  /// Runs `task` on the plane's thread; may be called from any thread.
+  void post(std::function<void(control_plane&)> task);
+
+  /// The functions below run on the plane's thread.
+  void publish(parsed_change change, std::function<void(http::response)> done);
+  http::response config() const;
+  http::response version(std::string_view number) const;
+  http::response status() const;
+  http::response instances() const;
+  void begin_drain();
+  /// Claims an idempotency key for a request of this daemon.
+  void claim_key(wire::key_claim claim, model::milliseconds timeout,
+                 shard_set::claim_reply done);
+  void finish_key(wire::key_claim claim, const std::string& outcome);
+  /// @param done called on any thread.
+  void forward_request(const model::instance_id& member,
+                       const wire::http_request& request,
+                       model::milliseconds timeout,
+                       peer_mesh::http_callback done);
+  shard_set& shards() { return *shards_; }
+
+  void on_heartbeat(const wire::heartbeat_message& message,
+                    reply<wire::heartbeat_message> done) override;
+  void on_fetch_records(model::offset first, std::int32_t limit,
+                        reply<std::vector<wire::log_record>> done) override;
+  void on_push_records(const std::vector<wire::log_record>& records) override;
+  void on_forward_request(const wire::call_context& context,
+                          const wire::http_request& request,
+                          reply<wire::http_result> done) override;
+  void on_claim_key(const wire::key_claim& claim,
+                    reply<wire::key_result> done) override;
+  void on_finish_key(const wire::key_claim& claim,
+                     const std::string& outcome) override;
+  void on_job_call(job_call call, model::shard_id shard, const std::string& key,
+                   const std::string& body,
+                   reply<wire::http_result> done) override;
+
+ private:
+  enum class drain_phase {
+    none,
+    /// Not ready; the load balancer may still send requests.
+    announced,
+    finishing_requests,
+    releasing_shards,
+    leaving,
+  };
+  struct peer_state {
+    wire::heartbeat_message last;
+    model::time_point heard{};
+  };
+  /// A change that was read back and waits for a majority.
+  struct confirmation {
+    publish_result result;
+    model::time_point give_up;
+    std::function<void(http::response)> done;
+  };
+
+  void tick();
+  void join_if_needed(model::time_point now);
+  void create_first_version(model::time_point now);
+  void expel_silent(model::time_point now);
+  void on_control_changed();
+  void on_control_end(model::time_point sent, model::offset next);
+  void send_heartbeats(model::time_point now);
+  void on_peer_message(const wire::heartbeat_message& message,
+                       model::time_point now);
+  void ask_missing_records();
+  wire::heartbeat_message own_heartbeat(model::time_point now) const;
+  bool limits_match(const wire::protocol_limits& limits) const;
+  void fetch_instances();
+  void publish_view(model::time_point now);
+  serving::serving_view make_view(model::time_point now) const;
+  void on_front_status(std::uint64_t sequence, const front_status& status);
+  void update_freshness(model::time_point now);
+  void confirm_changes(model::time_point now);
+  void step_drain(model::time_point now);
+  std::vector<coordination::member_liveness> liveness(
+      model::time_point now) const;
+  bool is_member() const;
+  std::vector<model::member_info> other_members() const;
+
+  options options_;
+  caller_identity self_;
+  front_gate& front_;
+  control_channel& channel_;
+  runtime::metrics& metrics_;
+  runtime::logger logger_{"control"};
+  http::event_loop loop_;
+  platform::http_log_service log_;
+  platform::http_worker_service workers_;
+  platform::http_instance_list instance_list_;
+  peer_mesh mesh_;
+  std::unique_ptr<control_stream> stream_;
+  std::unique_ptr<shard_set> shards_;
+  coordination::view_freshness freshness_;
+  coordination::grant_tracker grants_;
+  coordination::config_view config_{coordination::config_keys{}};
+  platform::instance_snapshot instances_;
+  std::map<model::instance_id, peer_state> peers_;
+  std::vector<confirmation> confirmations_;
+  model::offset applied_ = -1;
+  model::offset config_since_ = -1;
+  std::uint64_t version_ = 0;
+  std::uint64_t revision_ = 0;
+  model::time_point last_heartbeat_{};
+  model::time_point last_fetch_{};
+  model::time_point last_view_{};
+  model::time_point last_missing_request_{};
+  model::time_point last_expel_{};
+  bool view_dirty_ = true;
+  bool joining_ = false;
+  bool joined_ = false;
+  bool creating_version_ = false;
+  bool fetching_ = false;
+  bool instances_known_ = false;
+  std::uint64_t view_sequence_ = 0;
+  /// View sequence at which the newest membership view reached the front.
+  std::uint64_t grant_sequence_ = 0;
+  model::offset reported_view_ = -1;
+  bool within_grant_ = false;
+  front_status front_status_;
+  events::view_freshness_changed shard_freshness_;
+  drain_phase drain_ = drain_phase::none;
+  model::time_point drain_started_{};
+  bool requests_finished_ = false;
+  std::optional<absl::Status> result_;
+  /// Last member, so that no call arrives after the others are gone.
+  std::unique_ptr<peer_server> server_;
+};
+
+}  // namespace vanillaladder::control
--- /dev/null
+++ b/packages/control/include/control/control_stream.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/peer_mesh.h"
+#include "coordination/append_tracker.h"
+#include "coordination/control_state.h"
+#include "coordination/stream_reader.h"
+#include "http/event_loop.h"
+#include "platform/log_service.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+
+namespace vanillaladder::control {
+
+/// What became of a control record that this daemon published.
+struct publish_result {
+  coordination::append_outcome outcome = coordination::append_outcome::unknown;
+  /// The fold's decision; meaningful unless `outcome` is `unknown`.
+  coordination::apply_result decision;
+  model::offset at = -1;
+};
+
+/// Follows the stream `control` and appends to it, on one event loop.
+class control_stream {
+ public:
+  using applied = coordination::control_reader::applied_record;
+
+  struct hooks {
+    /// A record was applied, also after a snapshot was loaded (then once with
+    /// no record).
+    std::function<void()> on_changed;
+    /// A read sent at `sent` returned the end of the stream.
+    std::function<void(model::time_point sent, model::offset next)> on_end;
+  };
+
+  /// @param log, loop, metrics must outlive the stream.
+  control_stream(http::event_loop& loop, platform::log_service& log,
+                 runtime::metrics& metrics, caller_identity self,
+                 hooks callbacks);
+  ~control_stream();
+  control_stream(const control_stream&) = delete;
+  control_stream& operator=(const control_stream&) = delete;
+
+  /// Starts to read.
+  void start();
+  /// Sends due appends; called at least every 50 ms while records wait.
+  void poll(model::time_point now);
+
+  /// Appends a record.
+  /// @param done called once, when the record was read back or abandoned.
+  void publish(coordination::control_body body, model::time_point give_up,
+               std::function<void(publish_result)> done);
+
+  /// Applies records that a peer relayed.
+  void on_relayed(const std::vector<wire::log_record>& records);
+  /// @return recent records from `first` on, for peers that lack them.
+  std::vector<wire::log_record> recent(model::offset first,
+                                       std::size_t limit) const;
+
+  const coordination::control_state& state() const { return reader_.state(); }
+  /// @return whether a state was recovered.
+  bool has_state() const { return reader_.has_state(); }
+  /// @return whether the last read returned the end of the stream.
+  bool at_end() const {
+    return reader_.status() == coordination::reader_status::at_end;
+  }
+  /// @return whether a read succeeded within the last seconds.
+  bool log_reachable(model::time_point now) const;
+
+ private:
+  struct waiting {
+    model::time_point give_up;
+    std::function<void(publish_result)> done;
+  };
+
+  void read_next();
+  void on_read(model::time_point sent,
+               absl::StatusOr<platform::read_result> result);
+  void after_records(const std::vector<applied>& records);
+  void remember(model::offset at, const std::string& bytes);
+  void resolve(const applied& record);
+  void give_up_on_overdue(model::time_point now);
+  void publish_snapshot_if_due();
+
+  http::event_loop& loop_;
+  platform::log_service& log_;
+  runtime::metrics& metrics_;
+  runtime::logger logger_{"control"};
+  hooks hooks_;
+  coordination::control_reader reader_;
+  coordination::append_tracker tracker_;
+  std::map<coordination::record_id, waiting> waiting_;
+  /// Raw records at consecutive offsets, newest last.
+  std::deque<wire::log_record> recent_;
+  model::time_point last_read_{};
+  bool log_failed_ = false;
+  bool snapshot_pending_ = false;
+  /// Cleared on destruction, so that late answers are ignored.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace vanillaladder::control
--- /dev/null
+++ b/packages/control/include/control/job_api.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "control/shard_messages.h"
+#include "http/message.h"
+
+/// JSON bodies of the jobs API.
+namespace vanillaladder::control {
+
+/// Largest length of a caller's key.
+inline constexpr std::size_t max_job_key_bytes = 200;
+
+/// Parses the body of `POST /v1/jobs`.
+/// @return the job with its id, or `InvalidArgument` naming the field and what
+///   is allowed.
+absl::StatusOr<job_request> parse_job(std::string_view body);
+
+/// @return a body that `parse_job` turns into the same job.
+std::string format_job(const job_request& job);
+
+/// @return the caller's key in a job id, if the id is well-formed.
+std::optional<std::string> key_of_job(std::string_view id);
+
+/// @return the answer to a submission.
+http::response submit_response(const job_request& job, submit_result result,
+                               std::string_view reason);
+http::response cancel_response(std::string_view id, cancel_result result);
+
+/// @return a job's state as JSON.
+std::string format_status(const job_status& status);
+
+/// @return an answer with one message.
+http::response error_response(int status, std::string_view message);
+
+}  // namespace vanillaladder::control
--- /dev/null
+++ b/packages/control/include/control/peer_mesh.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "control/peer_link.h"
+#include "model/types.h"
+#include "peer_types.h"
+
+namespace vanillaladder::control {
+
+/// Identity that goes into every call.
+struct caller_identity {
+  model::instance_id id;
+  model::incarnation incarnation = 0;
+};
+
+/// Links to all other members.
+///
+/// Functions may be called from any thread; callbacks run on threads of the
+/// links, so that callers post them to their own event loop.
+class peer_mesh {
+ public:
+  template <class Result>
+  using callback = std::function<void(std::variant<Result, call_failure>)>;
+  using http_callback = callback<wire::http_result>;
+
+  explicit peer_mesh(caller_identity self);
+  ~peer_mesh();
+  peer_mesh(const peer_mesh&) = delete;
+  peer_mesh& operator=(const peer_mesh&) = delete;
+
+  /// Opens links to new members and drops those to members that left.
+  void update(const std::vector<model::member_info>& others);
+
+  void heartbeat(const model::instance_id& member,
+                 const wire::heartbeat_message& message,
+                 model::milliseconds timeout,
+                 callback<wire::heartbeat_message> done);
+  void fetch_records(const model::instance_id& member, model::offset first,
+                     std::int32_t limit, model::milliseconds timeout,
+                     callback<std::vector<wire::log_record>> done);
+  /// Sends records to every member; failures are ignored, since members also
+  /// read the log and ask for missing records.
+  void push_records(const std::vector<wire::log_record>& records,
+                    model::milliseconds timeout);
+  void forward_request(const model::instance_id& member,
+                       wire::http_request request, model::milliseconds timeout,
+                       http_callback done);
+  void claim_key(const model::instance_id& member, wire::key_claim claim,
+                 model::milliseconds timeout, callback<wire::key_result> done);
+  void finish_key(const model::instance_id& member, wire::key_claim claim,
+                  std::string outcome, model::milliseconds timeout);
+  void submit_job(const model::instance_id& member, model::shard_id shard,
+                  std::string key, std::string body,
+                  model::milliseconds timeout, http_callback done);
+  void cancel_job(const model::instance_id& member, model::shard_id shard,
+                  std::string key, model::milliseconds timeout,
+                  http_callback done);
+  void get_job(const model::instance_id& member, model::shard_id shard,
+               std::string key, model::milliseconds timeout,
+               http_callback done);
+  void list_jobs(const model::instance_id& member, model::shard_id shard,
+                 model::milliseconds timeout, http_callback done);
+
+ private:
+  struct entry {
+    model::member_info info;
+    std::shared_ptr<peer_link> link;
+  };
+
+  std::shared_ptr<peer_link> find(const model::instance_id& member) const;
+  wire::call_context context(model::milliseconds timeout) const;
+
+  /// Runs `run`, which fills its second argument, and reports the outcome.
+  template <class Result>
+  void call(const model::instance_id& member, lane kind,
+            model::milliseconds timeout,
+            std::function<void(wire::peerClient&, Result&)> run,
+            callback<Result> done) const;
+
+  const caller_identity self_;
+  mutable std::mutex mutex_;
+  std::unordered_map<model::instance_id, entry> links_;
+};
+
+}  // namespace vanillaladder::control
--- /dev/null
+++ b/packages/control/src/config_api.cc
@@ -0,0 +1,272 @@
+#include "control/config_api.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "control/job_api.h"
+#include "control/wire_convert.h"
+
+namespace vanillaladder::control {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_text_bytes = 200;
+constexpr std::size_t max_keys = 10000;
+
+/// Reads a change's fields and collects what is wrong with them.
+class change_parser {
+ public:
+  explicit change_parser(std::string_view body)
+      : object_(json::parse(body, nullptr, false)) {
+    if (!object_.is_object()) {
+      object_ = json::object();
+      add({"body", "not a JSON object", "an object", ""});
+    }
+  }
+
+  std::string text(const char* field, bool required) {
+    auto found = object_.find(field);
+    if (found == object_.end() && !required) {
+      return {};
+    }
+    if (found == object_.end() || !found->is_string() ||
+        found->get_ref<const std::string&>().empty() ||
+        found->get_ref<const std::string&>().size() > max_text_bytes) {
+      add({field, "missing or not a text",
+           "a text of 1 to " + std::to_string(max_text_bytes) + " bytes", ""});
+      return {};
+    }
+    return found->get<std::string>();
+  }
+
+  std::uint64_t number(const char* field) {
+    auto found = object_.find(field);
+    if (found == object_.end() || !found->is_number_unsigned()) {
+      add({field, "missing or not a number", "an integer from 0", ""});
+      return 0;
+    }
+    return found->get<std::uint64_t>();
+  }
+
+  coordination::config_keys set() {
+    coordination::config_keys keys;
+    auto found = object_.find("set");
+    if (found == object_.end()) {
+      return keys;
+    }
+    if (!found->is_object() || found->size() > max_keys) {
+      add({"set", "not an object of keys", "at most 10000 keys", ""});
+      return keys;
+    }
+    for (const auto& item : found->items()) {
+      auto value = text_of(item.value());
+      if (auto error = coordination::check(item.key(), value)) {
+        add(*error);
+      }
+      keys[item.key()] = value;
+    }
+    return keys;
+  }
+
+  std::vector<std::string> remove() {
+    std::vector<std::string> keys;
+    auto found = object_.find("remove");
+    if (found == object_.end()) {
+      return keys;
+    }
+    if (!found->is_array()) {
+      add({"remove", "not a list of keys", "a list of keys", ""});
+      return keys;
+    }
+    for (const auto& item : *found) {
+      auto key = text_of(item);
+      if (auto error = coordination::check_key(key)) {
+        add(*error);
+      }
+      keys.push_back(key);
+    }
+    return keys;
+  }
+
+  void check_fields(std::initializer_list<std::string_view> known) {
+    for (const auto& item : object_.items()) {
+      if (std::ranges::find(known, item.key()) == known.end()) {
+        add({item.key(), "unknown field", "a field of the API", ""});
+      }
+    }
+  }
+
+  void check_not_empty(const coordination::config_keys& set,
+                       const std::vector<std::string>& removed) {
+    if (set.empty() && removed.empty()) {
+      add({"set", "the patch changes nothing", "at least one key", ""});
+    }
+  }
+
+  /// @return the refusal if anything was wrong.
+  std::optional<http::response> refusal() const {
+    if (errors_.empty()) {
+      return std::nullopt;
+    }
+    return http::json_response(
+        422, json({{"result", "invalid"}, {"errors", errors_}}).dump());
+  }
+
+ private:
+  static std::string text_of(const json& value) {
+    return value.is_string() ? value.get<std::string>() : value.dump();
+  }
+
+  void add(const coordination::schema_error& error) {
+    json made = {{"key", error.key},
+                 {"message", error.message},
+                 {"allowed", error.allowed}};
+    if (!error.nearest.empty()) {
+      made["nearest"] = error.nearest;
+    }
+    errors_.push_back(std::move(made));
+  }
+
+  json object_;
+  json errors_ = json::array();
+};
+
+json optional_text(const std::optional<std::string>& value) {
+  return value ? json(*value) : json(nullptr);
+}
+
+json conflict_json(const coordination::key_conflict& conflict) {
+  return {{"key", conflict.key},
+          {"yours", optional_text(conflict.yours)},
+          {"your_author", conflict.your_author},
+          {"theirs", optional_text(conflict.theirs)},
+          {"their_author", conflict.their_author},
+          {"their_patch", conflict.their_patch}};
+}
+
+std::string_view reason_of(coordination::control_verdict verdict) {
+  switch (verdict) {
+    case coordination::control_verdict::conflict:
+      return "key-conflict";
+    case coordination::control_verdict::stale_version:
+      return "stale-version";
+    case coordination::control_verdict::stale_revision:
+      return "stale-revision";
+    default:
+      return "not-valid";
+  }
+}
+
+}  // namespace
+
+parsed_change parse_version(std::string_view body) {
+  change_parser parser(body);
+  parser.check_fields(
+      {"version", "base_version", "base_revision", "author", "set", "remove"});
+  coordination::version_created made;
+  made.version = parser.number("version");
+  made.base_version = parser.number("base_version");
+  made.base_revision = parser.number("base_revision");
+  made.author = parser.text("author", true);
+  made.set = parser.set();
+  made.remove = parser.remove();
+  if (auto refused = parser.refusal()) {
+    return *refused;
+  }
+  return coordination::control_body(made);
+}
+
+parsed_change parse_patch(std::string_view body) {
+  change_parser parser(body);
+  parser.check_fields(
+      {"id", "author", "branch", "version", "seen_revision", "set", "remove"});
+  coordination::patch_published made;
+  made.id = parser.text("id", true);
+  made.author = parser.text("author", true);
+  made.branch = parser.text("branch", false);
+  made.version = parser.number("version");
+  made.seen_revision = parser.number("seen_revision");
+  made.set = parser.set();
+  made.remove = parser.remove();
+  parser.check_not_empty(made.set, made.remove);
+  if (auto refused = parser.refusal()) {
+    return *refused;
+  }
+  return coordination::control_body(made);
+}
+
+http::response change_response(const publish_result& result, bool confirmed) {
+  using coordination::append_outcome;
+  if (result.outcome == append_outcome::unknown) {
+    return unknown_response("log-unavailable");
+  }
+  if (result.outcome == append_outcome::invalid && result.at < 0) {
+    return not_run_response("log-unavailable");
+  }
+  const auto& decision = result.decision;
+  json body = {{"version", decision.version},
+               {"revision", decision.revision},
+               {"offset", decision.decided_at}};
+  if (result.outcome == append_outcome::invalid) {
+    body["result"] = "conflict";
+    body["reason"] = reason_of(decision.verdict);
+    body["conflicts"] = json::array();
+    for (const auto& conflict : decision.conflicts) {
+      body["conflicts"].push_back(conflict_json(conflict));
+    }
+    return http::json_response(409, body.dump());
+  }
+  if (!confirmed) {
+    return unknown_response("no-majority");
+  }
+  body["result"] = "accepted";
+  return http::json_response(200, body.dump());
+}
+
+http::response config_response(const coordination::control_state& state,
+                               std::string_view branch) {
+  return http::json_response(200, json({{"version", state.version()},
+                                        {"revision", state.revision()},
+                                        {"offset", state.applied()},
+                                        {"keys", state.document()},
+                                        {"effective", state.effective(branch)}})
+                                      .dump());
+}
+
+http::response version_response(const coordination::control_state& state,
+                                std::string_view number) {
+  std::uint64_t version = 0;
+  const auto* end = number.data() + number.size();
+  auto parsed = std::from_chars(number.data(), end, version);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return error_response(404, "no such version");
+  }
+  auto keys = state.find_version(version);
+  if (!keys) {
+    return error_response(404, "no such version");
+  }
+  return http::json_response(
+      200, json({{"version", version}, {"keys", *keys}}).dump());
+}
+
+http::response status_response(const std::vector<instance_status>& instances) {
+  auto list = json::array();
+  for (const auto& instance : instances) {
+    list.push_back({{"instance", instance.id},
+                    {"domain", instance.domain},
+                    {"version", instance.version},
+                    {"revision", instance.revision},
+                    {"applied_offset", instance.applied},
+                    {"since_offset", instance.since},
+                    {"view", !instance.heard  ? "silent"
+                             : instance.fresh ? "fresh"
+                                              : "stale"}});
+  }
+  return http::json_response(200, json({{"instances", list}}).dump());
+}
+
+}  // namespace vanillaladder::control
--- /dev/null
+++ b/packages/control/src/control_stream.cc
@@ -0,0 +1,246 @@
+#include "control/control_stream.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <chrono>
+#include <utility>
+
+namespace vanillaladder::control {
+namespace {
+
+using coordination::append_outcome;
+using model::milliseconds;
+using model::time_point;
+using clock = std::chrono::steady_clock;
+
+constexpr char stream_name[] = "control";
+constexpr std::size_t read_limit = 512;
+constexpr milliseconds read_wait{500};
+constexpr milliseconds retry_delay{250};
+/// A read takes at most `read_wait` plus a short answer time.
+constexpr milliseconds reachable_for{1500};
+/// Records kept for peers that cannot reach the log.
+constexpr std::size_t max_recent = 2048;
+
+coordination::read_result to_read_result(platform::read_result result) {
+  coordination::read_result made;
+  made.first = result.first;
+  made.next = result.next;
+  made.records.reserve(result.entries.size());
+  for (auto& entry : result.entries) {
+    made.records.push_back({entry.offset, std::move(entry.data)});
+  }
+  return made;
+}
+
+}  // namespace
+
+control_stream::control_stream(http::event_loop& loop,
+                               platform::log_service& log,
+                               runtime::metrics& metrics, caller_identity self,
+                               hooks callbacks)
+    : loop_(loop),
+      log_(log),
+      metrics_(metrics),
+      hooks_(std::move(callbacks)),
+      tracker_(self.id, self.incarnation) {}
+
+control_stream::~control_stream() {
+  *alive_ = false;
+}
+
+void control_stream::start() {
+  read_next();
+}
+
+void control_stream::read_next() {
+  auto sent = clock::now();
+  log_.read(stream_name, reader_.next_offset(), read_limit, read_wait,
+            [this, sent, alive = alive_](auto result) {
+              if (*alive) {
+                on_read(sent, std::move(result));
+              }
+            });
+}
+
+void control_stream::on_read(time_point sent,
+                             absl::StatusOr<platform::read_result> result) {
+  if (!result.ok()) {
+    metrics_.counter("vanillaladder_log_failures_total", "call", "read")
+        .increment();
+    if (!std::exchange(log_failed_, true)) {
+      logger_.warn(
+          absl::StrCat("log not reachable: ", result.status().message()));
+    }
+    loop_.call_after(retry_delay, [this, alive = alive_] {
+      if (*alive) {
+        read_next();
+      }
+    });
+    return;
+  }
+  if (std::exchange(log_failed_, false)) {
+    logger_.info("log reachable again");
+  }
+  last_read_ = clock::now();
+  bool had_state = reader_.has_state();
+  auto read = to_read_result(*std::move(result));
+  auto records = reader_.on_read(read);
+  for (const auto& stored : read.records) {
+    remember(stored.at, stored.bytes);
+  }
+  after_records(records);
+  if (!had_state && reader_.has_state()) {
+    hooks_.on_changed();
+  }
+  tracker_.on_reader_at(reader_.next_offset(), clock::now());
+  if (reader_.status() == coordination::reader_status::log_moved_back) {
+    logger_.error("log offers only offsets below those already read");
+  }
+  if (at_end()) {
+    publish_snapshot_if_due();
+    hooks_.on_end(sent, reader_.next_offset());
+  }
+  bool idle = reader_.status() == coordination::reader_status::log_moved_back;
+  loop_.call_after(idle ? retry_delay : milliseconds(0),
+                   [this, alive = alive_] {
+                     if (*alive) {
+                       read_next();
+                     }
+                   });
+}
+
+void control_stream::after_records(const std::vector<applied>& records) {
+  for (const auto& record : records) {
+    resolve(record);
+  }
+  if (!records.empty()) {
+    hooks_.on_changed();
+  }
+}
+
+void control_stream::remember(model::offset at, const std::string& bytes) {
+  if (!recent_.empty() && at != recent_.back().offset + 1) {
+    if (at <= recent_.back().offset) {
+      return;
+    }
+    recent_.clear();
+  }
+  wire::log_record kept;
+  kept.offset = at;
+  kept.data = bytes;
+  recent_.push_back(std::move(kept));
+  if (recent_.size() > max_recent) {
+    recent_.pop_front();
+  }
+}
+
+void control_stream::resolve(const applied& record) {
+  bool duplicate =
+      record.result.verdict == coordination::control_verdict::duplicate_record;
+  auto resolution = tracker_.on_read(record.at, record.record.id,
+                                     record.result.valid(), duplicate);
+  if (!resolution) {
+    return;
+  }
+  auto found = waiting_.find(resolution->id);
+  if (found == waiting_.end()) {
+    return;
+  }
+  auto done = std::move(found->second.done);
+  waiting_.erase(found);
+  done({resolution->outcome, record.result, record.at});
+}
+
+void control_stream::publish(coordination::control_body body,
+                             time_point give_up,
+                             std::function<void(publish_result)> done) {
+  coordination::control_record record{tracker_.next_id(), std::move(body)};
+  auto now = clock::now();
+  waiting_[record.id] = {give_up, std::move(done)};
+  tracker_.add(record.id, coordination::encode(record), now);
+  poll(now);
+}
+
+void control_stream::poll(time_point now) {
+  give_up_on_overdue(now);
+  auto batch = tracker_.poll(now);
+  if (!batch) {
+    return;
+  }
+  log_.append(
+      stream_name, batch->records,
+      [this, number = batch->number, alive = alive_](auto result) {
+        if (!*alive) {
+          return;
+        }
+        if (result.ok()) {
+          tracker_.on_answered(number, *result);
+          return;
+        }
+        metrics_.counter("vanillaladder_log_failures_total", "call", "append")
+            .increment();
+        tracker_.on_failed(number, clock::now());
+      });
+}
+
+void control_stream::give_up_on_overdue(time_point now) {
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (it->second.give_up > now) {
+      ++it;
+      continue;
+    }
+    auto resolution = tracker_.abandon(it->first);
+    auto done = std::move(it->second.done);
+    it = waiting_.erase(it);
+    publish_result result;
+    if (resolution) {
+      result.outcome = resolution->outcome;
+    }
+    done(result);
+  }
+}
+
+void control_stream::publish_snapshot_if_due() {
+  if (snapshot_pending_ || !reader_.wants_snapshot()) {
+    return;
+  }
+  snapshot_pending_ = true;
+  publish(state().to_snapshot(), clock::now() + milliseconds(10000),
+          [this](const publish_result&) { snapshot_pending_ = false; });
+}
+
+void control_stream::on_relayed(const std::vector<wire::log_record>& records) {
+  std::vector<coordination::stored_record> stored;
+  stored.reserve(records.size());
+  for (const auto& record : records) {
+    stored.push_back({record.offset, record.data});
+  }
+  auto applied_records = reader_.on_relayed(stored);
+  for (const auto& record : records) {
+    if (record.offset < reader_.next_offset()) {
+      remember(record.offset, record.data);
+    }
+  }
+  after_records(applied_records);
+}
+
+std::vector<wire::log_record> control_stream::recent(model::offset first,
+                                                     std::size_t limit) const {
+  std::vector<wire::log_record> found;
+  if (recent_.empty() || first < recent_.front().offset ||
+      first > recent_.back().offset) {
+    return found;
+  }
+  auto start = static_cast<std::size_t>(first - recent_.front().offset);
+  for (auto n = start; n < recent_.size() && found.size() < limit; ++n) {
+    found.push_back(recent_[n]);
+  }
+  return found;
+}
+
+bool control_stream::log_reachable(time_point now) const {
+  return !log_failed_ && now - last_read_ < reachable_for;
+}
+
+}  // namespace vanillaladder::control
--- /dev/null
+++ b/packages/control/src/job_api.cc
@@ -0,0 +1,228 @@
+#include "control/job_api.h"
+
+#include <algorithm>
+#include <cctype>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "control/wire_convert.h"
+#include "coordination/shard_state.h"
+#include "runtime/error.h"
+
+namespace vanillaladder::control {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t max_amount = 1'000'000'000;
+constexpr std::size_t max_command_bytes = 4096;
+constexpr std::size_t max_name_bytes = 100;
+constexpr std::size_t shard_prefix_bytes = 4;  // "s07-"
+
+absl::Status invalid(std::string_view field, std::string_view allowed) {
+  return runtime::make_error(
+      absl::StatusCode::kInvalidArgument, "parse job", "",
+      std::string(field) + ": allowed: " + std::string(allowed));
+}
+
+bool is_name(std::string_view text, std::size_t max_bytes) {
+  return !text.empty() && text.size() <= max_bytes &&
+         std::ranges::all_of(text, [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+absl::Status read_integer(const json& object, const char* field,
+                          std::int64_t min, std::int64_t& value) {
+  auto found = object.find(field);
+  if (found == object.end()) {
+    return absl::OkStatus();
+  }
+  if (!found->is_number_integer()) {
+    return invalid(field, "an integer");
+  }
+  // A number above the signed range would wrap and pass the check below.
+  bool wraps = found->is_number_unsigned() &&
+               found->get<std::uint64_t>() > std::uint64_t{max_amount};
+  value = wraps ? max_amount + 1 : found->get<std::int64_t>();
+  if (value < min || value > max_amount) {
+    return invalid(field,
+                   std::to_string(min) + ".." + std::to_string(max_amount));
+  }
+  return absl::OkStatus();
+}
+
+absl::Status read_name(const json& object, const char* field,
+                       std::size_t max_bytes, std::string& value) {
+  auto found = object.find(field);
+  if (found == object.end() || !found->is_string() ||
+      !is_name(found->get_ref<const std::string&>(), max_bytes)) {
+    return invalid(field, "letters, digits, '-', '_' and '.', at most " +
+                              std::to_string(max_bytes) + " characters");
+  }
+  value = found->get<std::string>();
+  return absl::OkStatus();
+}
+
+absl::Status check_fields(const json& object,
+                          const std::set<std::string>& known) {
+  for (const auto& item : object.items()) {
+    if (!known.contains(item.key())) {
+      return invalid(item.key(), "this field is not known");
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status read_resources(const json& object, model::resources& size) {
+  auto found = object.find("resources");
+  if (found == object.end() || !found->is_object()) {
+    return invalid("resources",
+                   "an object with cpu_millis, memory_mib, accelerators");
+  }
+  auto status =
+      check_fields(*found, {"cpu_millis", "memory_mib", "accelerators"});
+  status.Update(read_integer(*found, "cpu_millis", 1, size.cpu_millis));
+  status.Update(read_integer(*found, "memory_mib", 0, size.memory_mib));
+  status.Update(read_integer(*found, "accelerators", 0, size.accelerators));
+  if (status.ok() && size.cpu_millis == 0) {
+    return invalid("resources.cpu_millis", "at least 1");
+  }
+  return status;
+}
+
+}  // namespace
+
+absl::StatusOr<job_request> parse_job(std::string_view body) {
+  auto object = json::parse(body, nullptr, false);
+  if (!object.is_object()) {
+    return invalid("body", "a JSON object");
+  }
+  job_request job;
+  std::string key;
+  std::int64_t tasks = 1;
+  auto status =
+      check_fields(object, {"id", "team", "class", "tasks", "resources",
+                            "command", "expected_run_ms"});
+  status.Update(read_name(object, "id", max_job_key_bytes, key));
+  status.Update(read_name(object, "team", max_name_bytes, job.team));
+  status.Update(read_name(object, "class", max_name_bytes, job.job_class));
+  status.Update(read_integer(object, "tasks", 1, tasks));
+  status.Update(read_resources(object, job.size));
+  status.Update(
+      read_integer(object, "expected_run_ms", 0, job.expected_run_ms));
+  if (!status.ok()) {
+    return status;
+  }
+  if (tasks > coordination::shard_state::max_tasks) {
+    return invalid(
+        "tasks", "1.." + std::to_string(coordination::shard_state::max_tasks));
+  }
+  auto command = object.find("command");
+  if (command != object.end()) {
+    if (!command->is_string() ||
+        command->get_ref<const std::string&>().size() > max_command_bytes) {
+      return invalid("command", "a string of at most " +
+                                    std::to_string(max_command_bytes) +
+                                    " bytes");
+    }
+    job.command = command->get<std::string>();
+  }
+  job.tasks = static_cast<std::uint32_t>(tasks);
+  job.id = coordination::make_job_id(key);
+  return job;
+}
+
+std::string format_job(const job_request& job) {
+  return json({{"id", job.id.substr(shard_prefix_bytes)},
+               {"team", job.team},
+               {"class", job.job_class},
+               {"tasks", job.tasks},
+               {"resources",
+                {{"cpu_millis", job.size.cpu_millis},
+                 {"memory_mib", job.size.memory_mib},
+                 {"accelerators", job.size.accelerators}}},
+               {"command", job.command},
+               {"expected_run_ms", job.expected_run_ms}})
+      .dump();
+}
+
+std::optional<std::string> key_of_job(std::string_view id) {
+  if (id.size() <= shard_prefix_bytes) {
+    return std::nullopt;
+  }
+  std::string key(id.substr(shard_prefix_bytes));
+  if (!is_name(key, max_job_key_bytes) ||
+      coordination::make_job_id(key) != id) {
+    return std::nullopt;
+  }
+  return key;
+}
+
+http::response submit_response(const job_request& job, submit_result result,
+                               std::string_view reason) {
+  switch (result) {
+    case submit_result::created:
+      return http::json_response(201, json({{"id", job.id}}).dump());
+    case submit_result::exists:
+      return http::json_response(200, json({{"id", job.id}}).dump());
+    case submit_result::never_fits:
+      return error_response(422, reason);
+    case submit_result::not_run:
+      return not_run_response(reason.empty() ? "shard-not-ready" : reason);
+    case submit_result::unknown:
+      break;
+  }
+  return unknown_response(reason.empty() ? "not-read-back" : reason);
+}
+
+http::response cancel_response(std::string_view id, cancel_result result) {
+  switch (result) {
+    case cancel_result::cancelled:
+      return http::json_response(
+          200, json({{"id", id}, {"result", "cancelled"}}).dump());
+    case cancel_result::no_such_job:
+      return error_response(404, "no such job");
+    case cancel_result::not_run:
+      return not_run_response("shard-not-ready");
+    case cancel_result::unknown:
+      break;
+  }
+  return unknown_response("not-read-back");
+}
+
+std::string format_status(const job_status& status) {
+  bool open =
+      status.pending + status.starting + status.running + status.evicting > 0;
+  const char* state = "finished";
+  if (open || status.delegated_to >= 0) {
+    bool started = status.running + status.starting + status.evicting > 0;
+    state = started ? "running" : "pending";
+  } else if (status.cancel_requested) {
+    state = "cancelled";
+  } else if (status.failed > 0) {
+    state = "failed";
+  }
+  json made = {{"id", status.id},
+               {"team", status.team},
+               {"class", status.job_class},
+               {"state", state},
+               {"tasks",
+                {{"pending", status.pending},
+                 {"starting", status.starting},
+                 {"running", status.running},
+                 {"evicting", status.evicting},
+                 {"finished", status.finished},
+                 {"failed", status.failed},
+                 {"cancelled", status.cancelled}}}};
+  if (status.delegated_to >= 0) {
+    made["delegated_to"] = status.delegated_to;
+  }
+  return made.dump();
+}
+
+http::response error_response(int status, std::string_view message) {
+  return http::json_response(status, json({{"error", message}}).dump());
+}
+
+}  // namespace vanillaladder::control
--- /dev/null
+++ b/packages/control/test/job_api_test.cc
@@ -0,0 +1,70 @@
+#include "control/job_api.h"
+
+#include <catch2/catch.hpp>
+
+namespace vanillaladder::control {
+namespace {
+
+constexpr const char* valid_job = R"({"id": "sync-1", "team": "tartu",
+  "class": "sync", "tasks": 3, "resources": {"cpu_millis": 500,
+  "memory_mib": 64}, "command": "run", "expected_run_ms": 1000})";
+
+}  // namespace
+
+// Guards against a delegated job that differs from the submitted one.
+TEST_CASE("a job survives formatting and parsing") {
+  auto job = parse_job(valid_job);
+  REQUIRE(job.ok());
+  CHECK(job->tasks == 3);
+  auto again = parse_job(format_job(*job));
+  REQUIRE(again.ok());
+  CHECK(again->id == job->id);
+  CHECK(again->size == job->size);
+  CHECK(again->command == job->command);
+  CHECK(key_of_job(job->id) == "sync-1");
+}
+
+// Guards against ids that name another shard than the key's home shard.
+TEST_CASE("an id with the wrong shard or no key is not a job id") {
+  auto job = parse_job(valid_job);
+  REQUIRE(job.ok());
+  auto wrong = job->id;
+  wrong[2] = wrong[2] == '9' ? '8' : '9';
+  CHECK_FALSE(key_of_job(wrong));
+  CHECK_FALSE(key_of_job(""));
+  CHECK_FALSE(key_of_job("s01-"));
+}
+
+// Guards against bad submissions that end the daemon or become jobs.
+TEST_CASE("malformed jobs are refused") {
+  for (const auto* body :
+       {"", "[]", "{", R"({"id": "a"})",
+        R"({"id": "a b", "team": "t", "class": "c",
+            "resources": {"cpu_millis": 1}})",
+        R"({"id": "a", "team": "t", "class": "c", "resources": {}})",
+        R"({"id": "a", "team": "t", "class": "c", "tasks": 0,
+            "resources": {"cpu_millis": 1}})",
+        R"({"id": "a", "team": "t", "class": "c",
+            "resources": {"cpu_millis": 18446744073709551615}})",
+        R"({"id": "a", "team": "t", "class": "c",
+            "resources": {"cpu_millis": 1, "gpus": 1}})",
+        R"({"id": "a", "team": "t", "class": "c", "urgent": true,
+            "resources": {"cpu_millis": 1}})"}) {
+    CHECK_FALSE(parse_job(body).ok());
+  }
+}
+
+// Guards against a refusal that claims more than is known.
+TEST_CASE("each submission result has its status and outcome") {
+  job_request job;
+  job.id = "s00-a";
+  CHECK(submit_response(job, submit_result::created, "").status == 201);
+  CHECK(submit_response(job, submit_result::exists, "").status == 200);
+  CHECK(submit_response(job, submit_result::never_fits, "no").status == 422);
+  auto not_run = submit_response(job, submit_result::not_run, "");
+  CHECK(http::find_header(not_run.headers, "x-outcome") == "not-run");
+  auto unknown = submit_response(job, submit_result::unknown, "");
+  CHECK(http::find_header(unknown.headers, "x-outcome") == "unknown");
+}
+
+}  // namespace vanillaladder::control
--- a/packages/model/include/model/types.h
+++ b/packages/model/include/model/types.h
@@ -31,6 +31,11 @@
 
 /// Number of shard streams.
 inline constexpr shard_id shard_count = 16;
+/// Shards that hold workers and jobs, the first of them all; idempotency keys
+/// use all shards. With 50 workers in 4 failure domains each of 4 shards has
+/// about 3 workers per domain, so that it can place its jobs elsewhere when a
+/// domain is taken out. With 16 it would have less than one.
+inline constexpr shard_id placement_shard_count = 4;
 
 /// An amount of processor, memory and accelerators.
 struct resources {
