--- a/apps/vanillaladderd/src/main.cc
+++ b/apps/vanillaladderd/src/main.cc
@@ -1,5 +1,6 @@
 #include <docopt/docopt.h>
 #include <signal.h>
+#include <thrift/TOutput.h>
 
 #include <cstdio>
 #include <iostream>
@@ -102,8 +103,12 @@
   return {"control", start, false};
 }
 
+/// Thrift prints every failed connect by itself; the links report them too.
+void silence_thrift(const char*) {}
+
 int run(const runtime::daemon_settings& settings) {
   runtime::init_logging(settings.logging_level);
+  apache::thrift::GlobalOutput.setOutputFunction(silence_thrift);
   runtime::logger log("main");
   runtime::metrics metrics;
   metrics.declare_reasons();
--- a/packages/control/include/control/control_plane.h
+++ b/packages/control/include/control/control_plane.h
@@ -150,6 +150,8 @@
   void on_control_changed();
   void on_control_end(model::time_point sent, model::offset next);
   void send_heartbeats(model::time_point now);
+  bool heartbeat_needed(const model::instance_id& member,
+                        model::time_point now) const;
   void on_peer_message(const wire::heartbeat_message& message,
                        model::time_point now);
   void ask_missing_records();
--- a/packages/control/src/control_peers.cc
+++ b/packages/control/src/control_peers.cc
@@ -14,6 +14,7 @@
 
 constexpr milliseconds heartbeat_interval{500};
 constexpr milliseconds heartbeat_timeout{1000};
+constexpr milliseconds recently_heard{400};
 constexpr milliseconds missing_request_interval{200};
 constexpr milliseconds fetch_timeout{1000};
 constexpr std::int32_t fetch_limit = 512;
@@ -75,6 +76,9 @@
   auto round = freshness_.start_round(now);
   auto message = own_heartbeat(now);
   for (const auto& member : other_members()) {
+    if (!heartbeat_needed(member.id, now)) {
+      continue;
+    }
     mesh_.heartbeat(member.id, message, heartbeat_timeout,
                     [this, round](const auto& answer) {
                       const auto* heard =
@@ -92,6 +96,17 @@
   }
 }
 
+bool control_plane::heartbeat_needed(const model::instance_id& member,
+                                     time_point now) const {
+  // One exchange tells both sides the same. Only a daemon that needs a round
+  // of its own, to prove its view or to confirm a change, asks every member.
+  auto peer = peers_.find(member);
+  bool heard_just_now =
+      peer != peers_.end() && now - peer->second.heard < recently_heard;
+  return !heard_just_now || !stream_->log_reachable(now) ||
+         !confirmations_.empty();
+}
+
 void control_plane::on_peer_message(const wire::heartbeat_message& message,
                                     time_point now) {
   auto found = peers_.find(message.sender);
--- a/packages/platform/include/platform/http_instance_list.h
+++ b/packages/platform/include/platform/http_instance_list.h
@@ -17,7 +17,8 @@
   std::size_t max_answer_bytes = 16U << 20;
 };
 
-/// The instance list over HTTP and JSON.
+/// The instance list over HTTP and JSON; asks with the entity tag of the last
+/// answer, if the list gave one.
 class http_instance_list : public instance_list {
  public:
   /// @param loop must outlive the list.
@@ -27,7 +28,12 @@
   void fetch(fetch_callback done) override;
 
  private:
+  absl::StatusOr<instance_snapshot> take_answer(const std::string& peer,
+                                                const http::response& answer);
+
   http_instance_list_options options_;
+  std::string tag_;
+  instance_snapshot last_;
   http::client client_;
 };
 
--- a/packages/platform/src/http_instance_list.cc
+++ b/packages/platform/src/http_instance_list.cc
@@ -92,12 +92,34 @@
   call.target = "/instances";
   call.options.timeout = options_.timeout;
   call.options.max_response_bytes = options_.max_answer_bytes;
+  // The list is large and changes rarely; an unchanged one costs one header.
+  if (!tag_.empty()) {
+    call.headers.push_back({"if-none-match", tag_});
+  }
   auto peer = detail::peer_name(call);
-  detail::send_json(client_, std::move(call),
-                    [peer, done = std::move(done)](auto answer) {
-                      done(detail::decode_answer(answer, "fetch instances",
-                                                 peer, decode_snapshot));
-                    });
+  detail::send_call(
+      client_, std::move(call),
+      [this, peer,
+       done = std::move(done)](absl::StatusOr<http::response> answer) {
+        done(answer.ok() ? take_answer(peer, *answer)
+                         : absl::StatusOr<instance_snapshot>(answer.status()));
+      });
+}
+
+absl::StatusOr<instance_snapshot> http_instance_list::take_answer(
+    const std::string& peer, const http::response& answer) {
+  constexpr int not_modified = 304;
+  if (answer.status == not_modified && !tag_.empty()) {
+    return last_;
+  }
+  const std::string step = "fetch instances";
+  auto snapshot = detail::decode_answer(detail::read_answer(step, peer, answer),
+                                        step, peer, decode_snapshot);
+  if (snapshot.ok()) {
+    last_ = *snapshot;
+    tag_ = std::string(http::find_header(answer.headers, "etag"));
+  }
+  return snapshot;
 }
 
 }  // namespace vanillaladder::platform
--- a/packages/platform/src/json_call.cc
+++ b/packages/platform/src/json_call.cc
@@ -45,6 +45,19 @@
   return {StatusCode::kUnavailable, failure_phase::possibly_sent};
 }
 
+}  // namespace
+
+std::string peer_name(const json_call& call) {
+  return call.peer + " " + call.address + ":" + std::to_string(call.port);
+}
+
+absl::Status malformed(std::string_view step, std::string_view peer,
+                       std::string_view message) {
+  return make_call_error(absl::StatusCode::kDataLoss,
+                         http::failure_phase::possibly_sent, step, peer,
+                         "malformed answer: " + std::string(message));
+}
+
 absl::StatusOr<nlohmann::json> read_answer(const std::string& step,
                                            const std::string& peer,
                                            const http::response& answer) {
@@ -64,23 +77,12 @@
   return parsed;
 }
 
-}  // namespace
-
-std::string peer_name(const json_call& call) {
-  return call.peer + " " + call.address + ":" + std::to_string(call.port);
-}
-
-absl::Status malformed(std::string_view step, std::string_view peer,
-                       std::string_view message) {
-  return make_call_error(absl::StatusCode::kDataLoss,
-                         http::failure_phase::possibly_sent, step, peer,
-                         "malformed answer: " + std::string(message));
-}
-
-void send_json(http::client& client, json_call call, json_callback done) {
+void send_call(http::client& client, json_call call,
+               std::function<void(absl::StatusOr<http::response>)> done) {
   http::request message;
   message.method = std::move(call.method);
   message.target = std::move(call.target);
+  message.headers = std::move(call.headers);
   if (!call.body.is_null()) {
     message.headers.push_back({"content-type", "application/json"});
     message.body = call.body.dump();
@@ -90,8 +92,8 @@
       call.address, call.port, std::move(message), call.options,
       [step = std::move(call.step), peer,
        done = std::move(done)](http::client_result result) {
-        if (const auto* answer = std::get_if<http::response>(&result)) {
-          done(read_answer(step, peer, *answer));
+        if (auto* answer = std::get_if<http::response>(&result)) {
+          done(std::move(*answer));
           return;
         }
         const auto& failure = std::get<http::client_failure>(result);
@@ -100,6 +102,19 @@
       });
 }
 
+void send_json(http::client& client, json_call call, json_callback done) {
+  auto step = call.step;
+  auto peer = peer_name(call);
+  send_call(client, std::move(call),
+            [step, peer, done = std::move(done)](auto answer) {
+              if (answer.ok()) {
+                done(read_answer(step, peer, *answer));
+              } else {
+                done(answer.status());
+              }
+            });
+}
+
 std::int64_t integer_at(const nlohmann::json& object, const char* key,
                         std::int64_t low, std::int64_t high) {
   const auto& value = object.at(key);
--- a/packages/platform/src/json_call.h
+++ b/packages/platform/src/json_call.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "http/client.h"
 #include "model/types.h"
@@ -24,6 +25,7 @@
   std::uint16_t port = 0;
   std::string method;
   std::string target;
+  std::vector<http::header> headers;
   /// Sent as the body unless null.
   nlohmann::json body;
   http::client_options options;
@@ -31,8 +33,18 @@
 
 using json_callback = std::function<void(absl::StatusOr<nlohmann::json>)>;
 
-/// Sends a call and checks the status and the syntax of its answer; an empty
-/// answer counts as an empty object.
+/// Sends a call.
+/// @param done gets the response, or a `make_call_error`.
+void send_call(http::client& client, json_call call,
+               std::function<void(absl::StatusOr<http::response>)> done);
+
+/// Checks the status and the syntax of an answer; an empty one counts as an
+/// empty object.
+absl::StatusOr<nlohmann::json> read_answer(const std::string& step,
+                                           const std::string& peer,
+                                           const http::response& answer);
+
+/// `send_call` and `read_answer` in one.
 void send_json(http::client& client, json_call call, json_callback done);
 
 /// @return the peer with its address, as errors name it.
--- a/packages/platform/test/http_instance_list_test.cc
+++ b/packages/platform/test/http_instance_list_test.cc
@@ -61,4 +61,23 @@
   CHECK(f.fetch(body).status().code() == absl::StatusCode::kDataLoss);
 }
 
+// Guards against an unchanged list that is read as an empty one.
+TEST_CASE("an unchanged instance list is the last one") {
+  fixture f;
+  http_instance_list_options options;
+  options.port = f.server->port();
+  http_instance_list list(f.loop, options);
+  f.answer = http::json_response(200, R"({"age_ms": 9, "instances": [
+      {"id": "w", "kind": "worker", "address": "127.0.0.1", "port": 1,
+       "domain": "a", "rack": "r", "state": "live", "cpu_millis": 10}]})");
+  f.answer.headers.push_back({"etag", "\"1\""});
+  auto first = f.wait<fetched>([&](auto done) { list.fetch(done); });
+  f.answer = {304, {}, ""};
+  auto second = f.wait<fetched>([&](auto done) { list.fetch(done); });
+  REQUIRE(first.ok());
+  REQUIRE(second.ok());
+  CHECK(second->workers == first->workers);
+  CHECK(second->workers.size() == 1);
+}
+
 }  // namespace vanillaladder::platform
--- a/tests/standins/src/instances_standin.cc
+++ b/tests/standins/src/instances_standin.cc
@@ -1,6 +1,7 @@
 #include "standins/instances_standin.h"
 
 #include <algorithm>
+#include <functional>
 #include <stdexcept>
 #include <utility>
 
@@ -34,9 +35,17 @@
   } else if (message.method != "GET" || message.target != "/instances") {
     reply(answer, 404, {{"error", "no such resource"}});
   } else {
-    loop_->call_after(milliseconds(delay_ms_), [answer, body = lagging_list()] {
-      reply(answer, 200, body);
-    });
+    auto body = lagging_list().dump();
+    auto tag = "\"" + std::to_string(std::hash<std::string>()(body)) + "\"";
+    auto response = http::json_response(200, std::move(body));
+    response.headers.push_back({"etag", tag});
+    if (http::find_header(message.headers, "if-none-match") == tag) {
+      response = {304, {{"etag", tag}}, ""};
+    }
+    loop_->call_after(milliseconds(delay_ms_),
+                      [answer, response = std::move(response)] {
+                        answer->respond(response);
+                      });
   }
 }
 
