--- a/packages/serving/test/front_test.cc
+++ b/packages/serving/test/front_test.cc
@@ -285,6 +285,11 @@
   f.backends[0]->waiting[0].second->respond({200, {}, "a"});
   f.run_until_answered(2);
   CHECK(answers.at(1).body == "a");
+  closing_server refusing(false);
+  f.set_port(0, refusing.port);
+  f.subject.handle_forwarded({"POST", "/quotes/x", {}, "c"}, 5000ms, done);
+  f.run_until_answered(3);
+  CHECK(http::find_header(answers.at(2).headers, "x-outcome") == "not-run");
 }
 
 // Guards against work for callers that are gone, and against a slot that is
--- a/packages/serving/test/request_machine_test.cc
+++ b/packages/serving/test/request_machine_test.cc
@@ -78,6 +78,7 @@
   };
   struct history {
     bool idempotent = false;
+    bool forwarded = false;
     bool may_have_run = false;
     bool may_be_running = false;
   };
@@ -104,6 +105,7 @@
     request_id id = ++last_id_;
     open_.insert(id);
     history_[id].idempotent = facts.idempotent;
+    history_[id].forwarded = facts.forwarded;
     if (facts.needs_claim) {
       claiming_.insert(id);
     }
@@ -174,6 +176,7 @@
   }
   void check(const forward_action& what) {
     check_send(what.id);
+    CHECK_FALSE(history_[what.id].forwarded);
     // A peer that never answers ends with the request's deadline.
     history_[what.id].may_have_run = true;
     if (pick(2) == 0) {
