Add the coordination library

Cause: control, serving and embedders need records, folds, grants, proofs of freshness and ownership rules without I/O.

Ruled out: counting the handover delay of an expelled member from the moment its removal was read. A member that reads late, or a majority of an older view that is partitioned from the log, can still prove its view to itself after that; the delay now runs from the confirmation of every change of view by a majority of the members before or after it. Also ruled out: trusting the highest sequence number alone for duplicates, since a corrupt record leaves a gap that its repeat must fill.

Conclusion: the library can be used; docs/design.md section 7 should name the confirmation that starts the handover delay.

--- /dev/null
+++ b/packages/coordination/include/coordination/control_state.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/records.h"
+
+namespace vanillaladder::coordination {
+
+/// A key on which a patch lost against an earlier one.
+struct key_conflict {
+  std::string key;
+  /// Value of the rejected patch; empty if it removes the key.
+  std::optional<std::string> yours;
+  /// Value in force; empty if the key was removed.
+  std::optional<std::string> theirs;
+  std::string your_author;
+  std::string their_author;
+  std::string their_patch;
+
+  bool operator==(const key_conflict&) const = default;
+};
+
+/// Outcome of one control record.
+struct apply_result {
+  control_verdict verdict = control_verdict::accepted;
+  /// Offset that decided: the record's own, or that of the first record with
+  /// the same patch id or version.
+  model::offset decided_at = -1;
+  /// Version and revision after the record, or after the first equal one.
+  std::uint64_t version = 0;
+  std::uint64_t revision = 0;
+  std::vector<key_conflict> conflicts;
+
+  /// @return whether the change that the record asks for is in the state.
+  bool valid() const;
+};
+
+/// Set of members after a `member_joined` or `member_left` record.
+struct membership_view {
+  /// Offset of the membership record; -1 before the first.
+  model::offset at = -1;
+  std::vector<model::member_info> members;
+
+  bool operator==(const membership_view&) const = default;
+};
+
+/// A difference between two documents; an empty side means "absent".
+struct key_change {
+  std::string key;
+  std::optional<std::string> before;
+  std::optional<std::string> after;
+
+  bool operator==(const key_change&) const = default;
+};
+
+/// Fold of the stream `control`: versions, patches and members.
+class control_state {
+ public:
+  /// Versions kept for `find_version` and `diff`, the current one included.
+  static constexpr std::size_t max_versions = 8;
+  /// Patch ids remembered for repeats.
+  static constexpr std::size_t max_patches = 1024;
+  /// Changes of the view kept; each is needed until it is settled.
+  static constexpr std::size_t max_changes = 64;
+
+  /// Applies the record at an offset. Offsets must increase; the decision is a
+  /// pure function of the records before it.
+  apply_result apply(model::offset at, const control_record& record);
+
+  /// Advances over a record that cannot be decoded.
+  void skip(model::offset at);
+
+  /// @return the last offset applied or skipped, -1 before the first.
+  model::offset applied() const { return data_.covers; }
+  std::uint64_t version() const { return data_.version; }
+  /// @return the number of valid patches on the current version.
+  std::uint64_t revision() const { return data_.revision; }
+
+  /// @return the current document without branch resolution.
+  config_keys document() const;
+  /// @return a version's document, at its last revision; empty if the version
+  ///   is unknown or too old.
+  std::optional<config_keys> find_version(std::uint64_t version) const;
+  /// @return the keys in force for a branch: `branch.<name>.<key>` overrides
+  ///   `<key>`; keys of other branches are left out.
+  config_keys effective(std::string_view branch) const;
+  /// @return the value in force of one key for a branch.
+  std::optional<std::string> value(std::string_view key,
+                                   std::string_view branch = {}) const;
+  /// @return what changed between two versions, sorted by key; NOT_FOUND if one
+  ///   of them is unknown or too old.
+  absl::StatusOr<std::vector<key_change>> diff(std::uint64_t from,
+                                               std::uint64_t to) const;
+
+  /// @return the decision about a patch id, if it is still remembered.
+  std::optional<patch_entry> find_patch(const std::string& id) const;
+
+  membership_view view() const;
+  /// @return the member with this id, or null.
+  const model::member_info* find_member(const model::instance_id& id) const;
+  /// @return whether exactly this incarnation is a member.
+  bool is_member(const model::instance_id& id,
+                 model::incarnation incarnation) const;
+  /// @return the last changes of the view, oldest first.
+  const std::vector<membership_change>& changes() const {
+    return data_.changes;
+  }
+
+  control_snapshot to_snapshot() const { return data_; }
+  /// @return the state, or INVALID_ARGUMENT for an inconsistent snapshot.
+  static absl::StatusOr<control_state> from_snapshot(
+      const control_snapshot& snapshot);
+
+  bool operator==(const control_state&) const = default;
+
+ private:
+  apply_result visit(model::offset at, const version_created& body);
+  apply_result visit(model::offset at, const patch_published& body);
+  apply_result visit(model::offset at, const member_joined& body);
+  apply_result visit(model::offset at, const member_left& body);
+  apply_result visit(model::offset at, const control_snapshot& body);
+  apply_result decide_patch(model::offset at, const patch_published& body);
+  apply_result result(control_verdict verdict, model::offset at) const;
+  std::vector<key_conflict> find_conflicts(const patch_published& body) const;
+  void set_entries(const patch_published& body);
+  void remember_patch(const std::string& id, const apply_result& decided);
+  void change_view(model::offset at, std::optional<departure> left);
+
+  control_snapshot data_;
+};
+
+}  // namespace vanillaladder::coordination
--- /dev/null
+++ b/packages/coordination/include/coordination/detail/envelope.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <absl/status/status.h>
+#include <thrift/TBase.h>
+
+#include <concepts>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+
+#include "coordination/records.h"
+
+namespace vanillaladder::coordination::wire {
+class record_id;
+class writer_history;
+}  // namespace vanillaladder::coordination::wire
+
+namespace vanillaladder::coordination::detail {
+
+/// @return envelope around the compact encoding of a struct.
+std::string seal(const apache::thrift::TBase& value);
+
+/// Opens an envelope and reads its struct.
+/// @return `DATA_LOSS` or `UNIMPLEMENTED` as in `decode_control`.
+absl::Status open(std::string_view bytes, apache::thrift::TBase& value);
+
+/// Status of a record whose kind or enumerator this release doesn't know.
+absl::Status unknown_record();
+/// Status of a record whose fields contradict each other.
+absl::Status malformed_record(std::string_view what);
+
+/// Converts numbers from their wire type and remembers the first that is out
+/// of range.
+class narrowing {
+ public:
+  template <std::integral To, std::integral From>
+  To number(From value) {
+    if constexpr (sizeof(To) == sizeof(From)) {
+      return static_cast<To>(value);  // 64-bit values keep their bits
+    } else {
+      ok_ = ok_ && value >= 0 &&
+            static_cast<std::uint64_t>(value) <=
+                static_cast<std::uint64_t>(std::numeric_limits<To>::max());
+      return static_cast<To>(value);
+    }
+  }
+  /// @param last largest known enumerator.
+  template <class Enum>
+  Enum enumerator(std::int32_t value, Enum last) {
+    if (value < 0 || value > static_cast<std::int32_t>(last)) {
+      known_ = false;
+      return Enum{};
+    }
+    return static_cast<Enum>(value);
+  }
+  absl::Status status() const;
+
+ private:
+  bool ok_ = true;
+  bool known_ = true;
+};
+
+wire::record_id to_wire(const record_id& id);
+record_id from_wire(const wire::record_id& id);
+wire::writer_history to_wire(const writer_history& history);
+writer_history from_wire(const wire::writer_history& history);
+
+}  // namespace vanillaladder::coordination::detail
--- /dev/null
+++ b/packages/coordination/include/coordination/records.h
@@ -0,0 +1,399 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "model/types.h"
+
+/// Records of the control and shard streams and their encoding.
+namespace vanillaladder::coordination {
+
+/// Identifies a record over repeated appends; sequence numbers start at 1 and
+/// are consecutive per stream and incarnation.
+struct record_id {
+  model::instance_id instance;
+  model::incarnation incarnation = 0;
+  std::uint64_t sequence = 0;
+
+  auto operator<=>(const record_id&) const = default;
+};
+
+/// Which record ids of one writer a reader has applied.
+struct writer_history {
+  model::incarnation incarnation = 0;
+  /// Highest sequence number applied.
+  std::uint64_t highest = 0;
+  /// Sequence numbers below `highest` that have not been applied.
+  std::set<std::uint64_t> missing;
+  /// Offset of the last record of this writer.
+  model::offset last_offset = -1;
+
+  bool operator==(const writer_history&) const = default;
+};
+
+using writer_histories = std::map<model::instance_id, writer_history>;
+using config_keys = std::map<std::string, std::string>;
+
+/// A new numbered configuration document, as a change of its base.
+struct version_created {
+  std::uint64_t version = 0;
+  std::uint64_t base_version = 0;
+  std::uint64_t base_revision = 0;
+  std::string author;
+  config_keys set;
+  std::vector<std::string> remove;
+
+  bool operator==(const version_created&) const = default;
+};
+
+/// An operator's change of the current version.
+struct patch_published {
+  std::string id;
+  std::string author;
+  std::string branch;
+  std::uint64_t version = 0;
+  /// Number of valid patches on `version` that the author has seen.
+  std::uint64_t seen_revision = 0;
+  config_keys set;
+  std::vector<std::string> remove;
+
+  bool operator==(const patch_published&) const = default;
+};
+
+struct member_joined {
+  model::member_info member;
+
+  bool operator==(const member_joined&) const = default;
+};
+
+/// How an incarnation stopped being a member.
+enum class leave_reason {
+  /// It left by itself and holds nothing.
+  released,
+  /// Another member removed it; it may still run requests.
+  expelled,
+  /// A later incarnation of the instance joined; only inferred, never encoded
+  /// in `member_left`.
+  replaced,
+};
+
+struct member_left {
+  model::instance_id instance;
+  model::incarnation incarnation = 0;
+  leave_reason reason = leave_reason::released;
+
+  bool operator==(const member_left&) const = default;
+};
+
+/// Value of a key of the current version and who changed it last.
+struct key_entry {
+  /// Empty if the key was removed by a patch of this version.
+  std::optional<std::string> value;
+  /// Revision that changed the key, 0 if the version itself set it.
+  std::uint64_t revision = 0;
+  std::string author;
+  std::string patch;
+
+  bool operator==(const key_entry&) const = default;
+};
+
+/// A version that a reader still knows.
+struct version_entry {
+  version_created created;
+  model::offset created_at = -1;
+  /// Keys at the version's last revision; unused for the current version.
+  config_keys keys;
+  std::uint64_t revision = 0;
+
+  bool operator==(const version_entry&) const = default;
+};
+
+/// What a fold decides about a control record.
+enum class control_verdict {
+  accepted,
+  /// A record with this record id was applied before.
+  duplicate_record,
+  /// The writer's instance has written under a later incarnation.
+  stale_incarnation,
+  /// A key was changed after the revision that the author had seen.
+  conflict,
+  /// The record names a version that is not the current one.
+  stale_version,
+  /// The record names a revision that does not exist or is too old.
+  stale_revision,
+  /// The member is unknown, or present with another incarnation.
+  stale_member,
+  /// A snapshot that was equal to the reader's state, or was not compared.
+  snapshot_matched,
+  snapshot_skipped,
+  /// A snapshot that differs from the reader's own state.
+  snapshot_differs,
+};
+
+/// The decision about the first record that carried a patch id.
+struct patch_entry {
+  control_verdict verdict = control_verdict::accepted;
+  model::offset at = -1;
+  std::uint64_t version = 0;
+  std::uint64_t revision = 0;
+
+  bool operator==(const patch_entry&) const = default;
+};
+
+/// An incarnation of an instance.
+using member_key = std::pair<model::instance_id, model::incarnation>;
+
+/// An incarnation that was a member and is no longer.
+struct departure {
+  member_key member;
+  leave_reason reason = leave_reason::released;
+
+  bool operator==(const departure&) const = default;
+};
+
+/// A change of the membership view.
+struct membership_change {
+  model::offset at = -1;
+  /// Members after the change.
+  std::set<member_key> members;
+  std::optional<departure> left;
+
+  bool operator==(const membership_change&) const = default;
+};
+
+/// The whole control state after the record at offset `covers`.
+struct control_snapshot {
+  model::offset covers = -1;
+  std::uint64_t version = 0;
+  std::uint64_t revision = 0;
+  std::map<std::string, key_entry> entries;
+  std::map<std::uint64_t, version_entry> versions;
+  std::map<std::string, patch_entry> patches;
+  std::map<model::instance_id, model::member_info> members;
+  model::offset view = -1;
+  /// Last changes of the view, oldest first.
+  std::vector<membership_change> changes;
+  writer_histories writers;
+
+  bool operator==(const control_snapshot&) const = default;
+};
+
+using control_body = std::variant<version_created, patch_published,
+                                  member_joined, member_left, control_snapshot>;
+
+/// A record of the stream `control`.
+struct control_record {
+  record_id id;
+  control_body body;
+
+  bool operator==(const control_record&) const = default;
+};
+
+/// Number of a job within its shard, given by the fold in log order.
+using job_number = std::uint32_t;
+/// Number of a worker within its shard, given by the fold in log order.
+using worker_number = std::uint32_t;
+
+struct owner_claimed {
+  model::instance_id owner;
+  model::incarnation incarnation = 0;
+
+  bool operator==(const owner_claimed&) const = default;
+};
+
+struct owner_released {
+  bool operator==(const owner_released&) const = default;
+};
+
+struct job_submitted {
+  model::job_id id;
+  model::team_id team;
+  model::class_id class_name;
+  std::uint32_t tasks = 1;
+  model::resources resources;
+  std::string command;
+  model::milliseconds expected_run{0};
+  /// Home shard, if this shard received the job by delegation.
+  std::optional<model::shard_id> home;
+
+  bool operator==(const job_submitted&) const = default;
+};
+
+struct job_delegated {
+  job_number job = 0;
+  model::shard_id to = 0;
+
+  bool operator==(const job_delegated&) const = default;
+};
+
+struct job_cancelled {
+  job_number job = 0;
+
+  bool operator==(const job_cancelled&) const = default;
+};
+
+struct task_start {
+  job_number job = 0;
+  std::uint32_t task = 0;
+  worker_number worker = 0;
+  std::uint32_t attempt = 0;
+
+  bool operator==(const task_start&) const = default;
+};
+
+struct tasks_started {
+  std::vector<task_start> starts;
+
+  bool operator==(const tasks_started&) const = default;
+};
+
+/// How an attempt ended; `finished` and `failed` are final for the task.
+enum class task_outcome { finished, failed, evicted, lost };
+
+struct task_end {
+  job_number job = 0;
+  std::uint32_t task = 0;
+  std::uint32_t attempt = 0;
+  task_outcome outcome = task_outcome::finished;
+  /// Where the next attempt resumes; empty keeps the previous checkpoint.
+  std::string checkpoint;
+
+  bool operator==(const task_end&) const = default;
+};
+
+struct tasks_ended {
+  std::vector<task_end> ends;
+
+  bool operator==(const tasks_ended&) const = default;
+};
+
+struct key_claimed {
+  std::uint64_t key = 0;
+  /// Entry daemon that asked for the claim.
+  model::instance_id instance;
+  model::incarnation incarnation = 0;
+  std::uint64_t nonce = 0;
+
+  bool operator==(const key_claimed&) const = default;
+};
+
+/// `not_run` frees the key, since the request proved not to have run.
+enum class key_outcome { answered, unknown, not_run };
+
+struct key_finished {
+  std::uint64_t key = 0;
+  std::uint64_t nonce = 0;
+  key_outcome outcome = key_outcome::unknown;
+  std::uint32_t status = 0;
+
+  bool operator==(const key_finished&) const = default;
+};
+
+/// Forgets keys that were claimed at or before an offset. Expiry is a record
+/// because a fold has no clock.
+struct keys_expired {
+  model::offset claimed_until = -1;
+
+  bool operator==(const keys_expired&) const = default;
+};
+
+struct worker_registered {
+  model::worker_id worker;
+
+  bool operator==(const worker_registered&) const = default;
+};
+
+enum class task_state { pending, started, finished, failed, cancelled };
+
+struct task_entry {
+  task_state state = task_state::pending;
+  /// Last attempt started; 0 before the first.
+  std::uint32_t attempt = 0;
+  /// Worker of the last attempt.
+  worker_number worker = 0;
+  std::string checkpoint;
+
+  bool operator==(const task_entry&) const = default;
+};
+
+struct job_entry {
+  job_submitted job;
+  model::offset submitted_at = -1;
+  bool cancelled = false;
+  std::optional<model::shard_id> delegated_to;
+  /// One entry per task; empty once the job has ended or was delegated.
+  std::vector<task_entry> tasks;
+  std::uint32_t finished = 0;
+  std::uint32_t failed = 0;
+  bool ended = false;
+
+  bool operator==(const job_entry&) const = default;
+};
+
+struct key_claim_entry {
+  key_claimed claim;
+  model::offset claimed_at = -1;
+  /// Present once the request has ended.
+  std::optional<key_finished> finished;
+
+  bool operator==(const key_claim_entry&) const = default;
+};
+
+/// The whole state of a shard after the record at offset `covers`.
+struct shard_snapshot {
+  model::offset covers = -1;
+  model::epoch epoch = 0;
+  std::optional<owner_claimed> owner;
+  model::offset owned_since = -1;
+  job_number next_job = 0;
+  std::map<job_number, job_entry> jobs;
+  /// Ended and delegated jobs, oldest first; the oldest are forgotten.
+  std::vector<job_number> ended_jobs;
+  /// A worker's number is its position.
+  std::vector<model::worker_id> workers;
+  std::map<std::uint64_t, key_claim_entry> keys;
+  writer_histories writers;
+
+  bool operator==(const shard_snapshot&) const = default;
+};
+
+using shard_body =
+    std::variant<owner_claimed, owner_released, job_submitted, job_delegated,
+                 job_cancelled, tasks_started, tasks_ended, key_claimed,
+                 key_finished, keys_expired, worker_registered, shard_snapshot>;
+
+/// A record of a shard stream.
+struct shard_record {
+  record_id id;
+  /// Writer's epoch; for `owner_claimed` the epoch that it claims.
+  model::epoch epoch = 0;
+  shard_body body;
+
+  bool operator==(const shard_record&) const = default;
+};
+
+/// Format byte of the current encoding.
+inline constexpr char record_format = 1;
+
+/// @return the record in its envelope: format byte, xxHash64 (little endian)
+///   of the rest, Thrift compact struct.
+std::string encode(const control_record& record);
+std::string encode(const shard_record& record);
+
+/// Decodes a record; never throws on malformed bytes.
+/// @return the record, `DATA_LOSS` for corrupt bytes, `UNIMPLEMENTED` for a
+///   format or a kind of record that this release doesn't know.
+absl::StatusOr<control_record> decode_control(std::string_view bytes);
+absl::StatusOr<shard_record> decode_shard(std::string_view bytes);
+
+}  // namespace vanillaladder::coordination
--- /dev/null
+++ b/packages/coordination/src/append_tracker.cc
@@ -0,0 +1,126 @@
+#include "coordination/append_tracker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanillaladder::coordination {
+
+record_id append_tracker::next_id() {
+  return {instance_, incarnation_, ++last_sequence_};
+}
+
+void append_tracker::add(const record_id& id, std::string bytes,
+                         model::time_point now) {
+  entry added;
+  added.bytes = std::move(bytes);
+  added.due = now;
+  entries_.emplace(id.sequence, std::move(added));
+}
+
+std::optional<append_batch> append_tracker::poll(model::time_point now) {
+  auto due = next_poll();
+  if (!due || *due > now) {
+    return std::nullopt;
+  }
+  append_batch out;
+  batch_.clear();
+  for (auto& [sequence, item] : entries_) {
+    if (item.at != stage::queued || item.due > now) {
+      continue;
+    }
+    repeated_ += item.sent ? 1 : 0;
+    item.at = stage::in_flight;
+    item.sent = true;
+    out.records.push_back(item.bytes);
+    batch_.push_back(sequence);
+  }
+  out.number = ++last_batch_;
+  in_flight_ = out.number;
+  last_sent_ = now;
+  return out;
+}
+
+std::optional<model::time_point> append_tracker::next_poll() const {
+  std::optional<model::time_point> due;
+  if (in_flight_) {
+    return due;
+  }
+  for (const auto& [sequence, item] : entries_) {
+    if (item.at == stage::queued) {
+      due = due ? std::min(*due, item.due) : item.due;
+    }
+  }
+  if (due && last_sent_) {
+    due = std::max(*due, *last_sent_ + group_commit_ms);
+  }
+  return due;
+}
+
+void append_tracker::on_answered(std::uint64_t number, model::offset at) {
+  if (in_flight_ != number) {
+    return;
+  }
+  in_flight_.reset();
+  for (std::size_t i = 0; i < batch_.size(); ++i) {
+    auto found = entries_.find(batch_[i]);
+    if (found != entries_.end()) {
+      found->second.at = stage::answered;
+      found->second.position = at + static_cast<model::offset>(i);
+    }
+  }
+}
+
+void append_tracker::on_failed(std::uint64_t number, model::time_point now) {
+  if (in_flight_ != number) {
+    return;
+  }
+  in_flight_.reset();
+  for (std::uint64_t sequence : batch_) {
+    auto found = entries_.find(sequence);
+    if (found != entries_.end()) {
+      found->second.at = stage::queued;
+      found->second.due = now + reappend_after_ms;
+    }
+  }
+}
+
+std::optional<append_resolution> append_tracker::on_read(model::offset at,
+                                                         const record_id& id,
+                                                         bool valid,
+                                                         bool duplicate) {
+  if (id.instance != instance_ || id.incarnation != incarnation_ ||
+      entries_.erase(id.sequence) == 0) {
+    return std::nullopt;
+  }
+  // A duplicate that is still waiting was first applied inside a snapshot that
+  // the reader started from; the decision about it was not seen.
+  if (duplicate) {
+    return append_resolution{id, append_outcome::unknown, -1};
+  }
+  return append_resolution{
+      id, valid ? append_outcome::valid : append_outcome::invalid, at};
+}
+
+void append_tracker::on_reader_at(model::offset next, model::time_point now) {
+  for (auto& [sequence, item] : entries_) {
+    if (item.at == stage::answered && item.position < next) {
+      item.at = stage::queued;
+      item.due = now;
+    }
+  }
+}
+
+std::optional<append_resolution> append_tracker::abandon(const record_id& id) {
+  auto found = id.instance == instance_ && id.incarnation == incarnation_
+                   ? entries_.find(id.sequence)
+                   : entries_.end();
+  if (found == entries_.end()) {
+    return std::nullopt;
+  }
+  auto outcome =
+      found->second.sent ? append_outcome::unknown : append_outcome::invalid;
+  entries_.erase(found);
+  return append_resolution{id, outcome, -1};
+}
+
+}  // namespace vanillaladder::coordination
--- /dev/null
+++ b/packages/coordination/src/shard_records.cc
@@ -0,0 +1,251 @@
+#include <algorithm>
+#include <utility>
+
+#include "coordination/shard_state.h"
+
+namespace vanillaladder::coordination {
+namespace {
+
+shard_result verdict(shard_verdict value) {
+  shard_result out;
+  out.verdict = value;
+  return out;
+}
+
+shard_result batch_verdict(std::size_t size, std::vector<std::size_t> refused) {
+  shard_result out;
+  if (!refused.empty()) {
+    out.verdict = refused.size() == size ? shard_verdict::wrong_state
+                                         : shard_verdict::partly_accepted;
+  }
+  out.rejected = std::move(refused);
+  return out;
+}
+
+bool never_started(const job_entry& job) {
+  return std::all_of(job.tasks.begin(), job.tasks.end(),
+                     [](const task_entry& task) { return task.attempt == 0; });
+}
+
+}  // namespace
+
+shard_result shard_state::visit(model::offset at, const owner_claimed& body) {
+  ++data_.epoch;
+  data_.owner = body;
+  data_.owned_since = at;
+  return {};
+}
+
+shard_result shard_state::visit(model::offset /*at*/, const owner_released&) {
+  data_.owner.reset();
+  return {};
+}
+
+shard_result shard_state::visit(model::offset at, const job_submitted& body) {
+  if (auto known = find_job(body.id)) {
+    shard_result out = verdict(shard_verdict::already_exists);
+    out.job = known;
+    return out;
+  }
+  if (body.tasks == 0 || body.tasks > max_tasks || body.id.empty()) {
+    return verdict(shard_verdict::wrong_state);
+  }
+  job_entry entry;
+  entry.job = body;
+  entry.submitted_at = at;
+  entry.tasks.resize(body.tasks);
+  job_number number = data_.next_job++;
+  data_.jobs.emplace(number, std::move(entry));
+  job_index_[body.id] = number;
+  shard_result out;
+  out.job = number;
+  return out;
+}
+
+shard_result shard_state::visit(model::offset /*at*/,
+                                const job_delegated& body) {
+  auto found = data_.jobs.find(body.job);
+  if (found == data_.jobs.end()) {
+    return verdict(shard_verdict::unknown_subject);
+  }
+  job_entry& job = found->second;
+  if (job.ended || job.cancelled || job.delegated_to || !never_started(job) ||
+      body.to >= model::shard_count) {
+    return verdict(shard_verdict::wrong_state);
+  }
+  job.delegated_to = body.to;
+  close_job(body.job, job);
+  return {};
+}
+
+shard_result shard_state::visit(model::offset /*at*/,
+                                const job_cancelled& body) {
+  auto found = data_.jobs.find(body.job);
+  if (found == data_.jobs.end()) {
+    return verdict(shard_verdict::unknown_subject);
+  }
+  job_entry& job = found->second;
+  if (job.ended || job.cancelled) {
+    return verdict(shard_verdict::wrong_state);
+  }
+  job.cancelled = true;
+  for (auto& task : job.tasks) {
+    if (task.state == task_state::pending) {
+      task.state = task_state::cancelled;
+    }
+  }
+  end_job_if_done(body.job, job);
+  return {};
+}
+
+shard_result shard_state::visit(model::offset /*at*/,
+                                const tasks_started& body) {
+  std::vector<std::size_t> refused;
+  for (std::size_t i = 0; i < body.starts.size(); ++i) {
+    if (!start(body.starts[i])) {
+      refused.push_back(i);
+    }
+  }
+  return batch_verdict(body.starts.size(), std::move(refused));
+}
+
+shard_result shard_state::visit(model::offset /*at*/, const tasks_ended& body) {
+  std::vector<std::size_t> refused;
+  for (std::size_t i = 0; i < body.ends.size(); ++i) {
+    if (!end(body.ends[i])) {
+      refused.push_back(i);
+    }
+  }
+  return batch_verdict(body.ends.size(), std::move(refused));
+}
+
+task_entry* shard_state::open_task(job_number job, std::uint32_t task) {
+  auto found = data_.jobs.find(job);
+  if (found == data_.jobs.end() || task >= found->second.tasks.size()) {
+    return nullptr;
+  }
+  return &found->second.tasks[task];
+}
+
+bool shard_state::start(const task_start& entry) {
+  task_entry* task = open_task(entry.job, entry.task);
+  if (task == nullptr || task->state != task_state::pending ||
+      entry.attempt != task->attempt + 1 ||
+      entry.worker >= data_.workers.size()) {
+    return false;
+  }
+  task->state = task_state::started;
+  task->attempt = entry.attempt;
+  task->worker = entry.worker;
+  return true;
+}
+
+bool shard_state::end(const task_end& entry) {
+  task_entry* task = open_task(entry.job, entry.task);
+  if (task == nullptr || task->state != task_state::started ||
+      entry.attempt != task->attempt) {
+    return false;
+  }
+  job_entry& job = data_.jobs.at(entry.job);
+  if (!entry.checkpoint.empty()) {
+    task->checkpoint = entry.checkpoint;
+  }
+  if (entry.outcome == task_outcome::finished) {
+    task->state = task_state::finished;
+    ++job.finished;
+  } else if (entry.outcome == task_outcome::failed) {
+    task->state = task_state::failed;
+    ++job.failed;
+  } else {
+    task->state = job.cancelled ? task_state::cancelled : task_state::pending;
+  }
+  end_job_if_done(entry.job, job);
+  return true;
+}
+
+void shard_state::end_job_if_done(job_number number, job_entry& job) {
+  auto open = [](const task_entry& task) {
+    return task.state == task_state::pending ||
+           task.state == task_state::started;
+  };
+  // The home shard doesn't learn when a delegated job ends.
+  if (job.delegated_to ||
+      std::any_of(job.tasks.begin(), job.tasks.end(), open)) {
+    return;
+  }
+  job.ended = true;
+  close_job(number, job);
+}
+
+void shard_state::close_job(job_number number, job_entry& job) {
+  job.tasks.clear();
+  job.tasks.shrink_to_fit();
+  data_.ended_jobs.push_back(number);
+  if (data_.ended_jobs.size() > max_ended_jobs) {
+    auto oldest = data_.jobs.find(data_.ended_jobs.front());
+    job_index_.erase(oldest->second.job.id);
+    data_.jobs.erase(oldest);
+    data_.ended_jobs.erase(data_.ended_jobs.begin());
+  }
+}
+
+shard_result shard_state::visit(model::offset at, const key_claimed& body) {
+  auto [entry, added] =
+      data_.keys.try_emplace(body.key, key_claim_entry{body, at, std::nullopt});
+  if (added) {
+    return {};
+  }
+  shard_result out = verdict(shard_verdict::already_exists);
+  out.first_claim = entry->second;
+  return out;
+}
+
+shard_result shard_state::visit(model::offset /*at*/,
+                                const key_finished& body) {
+  auto found = data_.keys.find(body.key);
+  if (found == data_.keys.end() || found->second.claim.nonce != body.nonce) {
+    return verdict(shard_verdict::unknown_subject);
+  }
+  if (found->second.finished) {
+    return verdict(shard_verdict::wrong_state);
+  }
+  if (body.outcome == key_outcome::not_run) {
+    data_.keys.erase(found);
+  } else {
+    found->second.finished = body;
+  }
+  return {};
+}
+
+shard_result shard_state::visit(model::offset /*at*/,
+                                const keys_expired& body) {
+  std::erase_if(data_.keys, [&](const auto& item) {
+    return item.second.claimed_at <= body.claimed_until;
+  });
+  return {};
+}
+
+shard_result shard_state::visit(model::offset /*at*/,
+                                const worker_registered& body) {
+  if (auto known = find_worker(body.worker)) {
+    shard_result out = verdict(shard_verdict::already_exists);
+    out.worker = known;
+    return out;
+  }
+  shard_result out;
+  out.worker = static_cast<worker_number>(data_.workers.size());
+  worker_index_[body.worker] = *out.worker;
+  data_.workers.push_back(body.worker);
+  return out;
+}
+
+shard_result shard_state::visit(model::offset /*at*/,
+                                const shard_snapshot& body) {
+  if (body.covers != data_.covers) {
+    return verdict(shard_verdict::snapshot_skipped);
+  }
+  return verdict(body == data_ ? shard_verdict::snapshot_matched
+                               : shard_verdict::snapshot_differs);
+}
+
+}  // namespace vanillaladder::coordination
--- /dev/null
+++ b/packages/coordination/src/shard_state.cc
@@ -0,0 +1,170 @@
+#include "coordination/shard_state.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/detail/text.h"
+#include "coordination/record_history.h"
+
+namespace vanillaladder::coordination {
+namespace {
+
+shard_result verdict(shard_verdict value) {
+  shard_result out;
+  out.verdict = value;
+  return out;
+}
+
+bool consistent(const job_entry& job, std::size_t workers) {
+  if (job.tasks.empty()) {
+    return job.ended || job.delegated_to.has_value();
+  }
+  return job.tasks.size() == job.job.tasks &&
+         std::all_of(job.tasks.begin(), job.tasks.end(),
+                     [&](const task_entry& task) {
+                       return task.state != task_state::started ||
+                              task.worker < workers;
+                     });
+}
+
+bool consistent(const shard_snapshot& data) {
+  auto known = [&](job_number number) { return data.jobs.contains(number); };
+  auto good = [&](const auto& item) {
+    return item.first < data.next_job &&
+           consistent(item.second, data.workers.size());
+  };
+  return data.covers >= -1 && data.writers.size() <= max_writers &&
+         data.ended_jobs.size() <= shard_state::max_ended_jobs &&
+         std::all_of(data.ended_jobs.begin(), data.ended_jobs.end(), known) &&
+         std::all_of(data.jobs.begin(), data.jobs.end(), good);
+}
+
+}  // namespace
+
+model::shard_id home_shard(std::string_view key) {
+  return static_cast<model::shard_id>(key_hash(key) %
+                                      model::placement_shard_count);
+}
+
+std::uint64_t key_hash(std::string_view key) {
+  return XXH64(key.data(), key.size(), 0);
+}
+
+model::shard_id worker_shard(std::string_view worker) {
+  return home_shard(worker);
+}
+
+model::job_id make_job_id(std::string_view key) {
+  auto shard = home_shard(key);
+  std::string number = std::to_string(shard);
+  return detail::concat({shard < 10 ? "s0" : "s", number, "-", key});
+}
+
+bool shard_result::valid() const {
+  return verdict == shard_verdict::accepted ||
+         verdict == shard_verdict::partly_accepted ||
+         verdict == shard_verdict::snapshot_matched ||
+         verdict == shard_verdict::snapshot_skipped;
+}
+
+shard_result shard_state::apply(model::offset at, const shard_record& record) {
+  // A snapshot describes the state before its own record.
+  if (const auto* body = std::get_if<shard_snapshot>(&record.body)) {
+    shard_result compared = visit(at, *body);
+    note_record(data_.writers, record.id, at);
+    skip(at);
+    return compared;
+  }
+  record_novelty novelty = note_record(data_.writers, record.id, at);
+  skip(at);
+  if (novelty == record_novelty::duplicate) {
+    return verdict(shard_verdict::duplicate_record);
+  }
+  if (novelty == record_novelty::stale_incarnation) {
+    return verdict(shard_verdict::stale_incarnation);
+  }
+  bool claim = std::holds_alternative<owner_claimed>(record.body);
+  bool by_owner = owned_by(record.id.instance, record.id.incarnation);
+  if (record.epoch != data_.epoch + (claim ? 1 : 0) || (!claim && !by_owner)) {
+    return verdict(shard_verdict::stale_epoch);
+  }
+  return std::visit([&](const auto& body) { return visit(at, body); },
+                    record.body);
+}
+
+void shard_state::skip(model::offset at) {
+  data_.covers = std::max(data_.covers, at);
+}
+
+bool shard_state::owned_by(const model::instance_id& instance,
+                           model::incarnation incarnation) const {
+  return data_.owner && data_.owner->owner == instance &&
+         data_.owner->incarnation == incarnation;
+}
+
+const job_entry* shard_state::find_job(job_number job) const {
+  auto found = data_.jobs.find(job);
+  return found == data_.jobs.end() ? nullptr : &found->second;
+}
+
+std::optional<job_number> shard_state::find_job(const model::job_id& id) const {
+  auto found = job_index_.find(id);
+  return found == job_index_.end() ? std::nullopt
+                                   : std::optional(found->second);
+}
+
+const task_entry* shard_state::find_task(job_number job,
+                                         std::uint32_t task) const {
+  const job_entry* entry = find_job(job);
+  return entry == nullptr || task >= entry->tasks.size() ? nullptr
+                                                         : &entry->tasks[task];
+}
+
+std::vector<task_start> shard_state::running() const {
+  std::vector<task_start> out;
+  for (const auto& [number, job] : data_.jobs) {
+    for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+      const task_entry& task = job.tasks[i];
+      if (task.state == task_state::started) {
+        out.push_back({number, i, task.worker, task.attempt});
+      }
+    }
+  }
+  return out;
+}
+
+std::optional<worker_number> shard_state::find_worker(
+    const model::worker_id& id) const {
+  auto found = worker_index_.find(id);
+  return found == worker_index_.end() ? std::nullopt
+                                      : std::optional(found->second);
+}
+
+const key_claim_entry* shard_state::find_key(std::uint64_t key) const {
+  auto found = data_.keys.find(key);
+  return found == data_.keys.end() ? nullptr : &found->second;
+}
+
+void shard_state::index() {
+  for (const auto& [number, job] : data_.jobs) {
+    job_index_[job.job.id] = number;
+  }
+  for (std::size_t i = 0; i < data_.workers.size(); ++i) {
+    worker_index_[data_.workers[i]] = static_cast<worker_number>(i);
+  }
+}
+
+absl::StatusOr<shard_state> shard_state::from_snapshot(
+    const shard_snapshot& snapshot) {
+  if (!consistent(snapshot)) {
+    return absl::InvalidArgumentError("load shard snapshot: inconsistent");
+  }
+  shard_state state;
+  state.data_ = snapshot;
+  state.index();
+  return state;
+}
+
+}  // namespace vanillaladder::coordination
--- /dev/null
+++ b/packages/coordination/src/slot_grants.cc
@@ -0,0 +1,224 @@
+#include "coordination/slot_grants.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <utility>
+
+namespace vanillaladder::coordination {
+namespace {
+
+using rank = std::pair<std::uint64_t, std::string_view>;
+
+rank rank_of(std::string_view backend, std::string_view instance) {
+  std::string text(backend);
+  text.push_back('\0');
+  text.append(instance);
+  return {XXH64(text.data(), text.size(), 0), instance};
+}
+
+}  // namespace
+
+std::uint32_t slots_granted(const std::set<member_key>& members,
+                            std::string_view backend, std::uint32_t slots,
+                            const model::instance_id& instance) {
+  auto own = rank_of(backend, instance);
+  std::uint32_t before = 0;
+  bool present = false;
+  for (const auto& [id, incarnation] : members) {
+    present = present || id == instance;
+    before += rank_of(backend, id) < own ? 1 : 0;
+  }
+  if (!present) {
+    return 0;
+  }
+  auto count = static_cast<std::uint32_t>(members.size());
+  return slots / count + (before < slots % count ? 1 : 0);
+}
+
+void grant_tracker::on_state(const control_state& state,
+                             model::time_point now) {
+  for (const auto& change : state.changes()) {
+    if (change.at > newest_view()) {
+      add_change(change);
+    }
+  }
+  applied_[self_] = newest_view();
+  dead_.clear();
+  for (const auto& [member, removed] : removals_) {
+    const auto& id = member.first;
+    if (state.value("instance." + id + ".state") == "dead") {
+      dead_.insert(id);
+    }
+  }
+  on_tick(now);
+  forget(now);
+}
+
+void grant_tracker::add_change(const membership_change& change) {
+  if (change.left) {
+    add_removal(change.left->member, change.left->reason, change.at);
+  }
+  // The record of a removal is unknown if the history no longer reaches back to
+  // the last view seen.
+  for (const auto& earlier : pending_) {
+    for (const auto& member : earlier.members) {
+      if (!change.members.contains(member)) {
+        add_removal(member, leave_reason::expelled, change.at);
+      }
+    }
+  }
+  for (const auto& [id, incarnation] : change.members) {
+    auto& latest = latest_[id];
+    latest = std::max(latest, incarnation);
+  }
+  pending_.push_back(change);
+}
+
+void grant_tracker::add_removal(const member_key& member, leave_reason reason,
+                                model::offset at) {
+  removals_.try_emplace(member, removal{reason, at, std::nullopt});
+}
+
+void grant_tracker::on_report(const grant_report& report,
+                              model::time_point now) {
+  auto raise = [&](std::map<member_key, model::offset>& offsets) {
+    auto& known = offsets.try_emplace(report.member, -1).first->second;
+    known = std::max(known, report.applied_view);
+  };
+  raise(applied_);
+  if (report.within_grant) {
+    raise(settled_at_);
+  }
+  on_tick(now);
+}
+
+void grant_tracker::on_tick(model::time_point now) {
+  confirm_removals(now);
+  for (std::size_t index = pending_.size(); index-- > 1;) {
+    if (replaces_earlier(index, now)) {
+      pending_.erase(pending_.begin(),
+                     pending_.begin() + static_cast<std::ptrdiff_t>(index));
+      return;
+    }
+  }
+}
+
+void grant_tracker::confirm_removals(model::time_point now) {
+  model::offset confirmed = pending_.front().at;
+  for (std::size_t i = 1; i < pending_.size() && change_confirmed(i); ++i) {
+    confirmed = pending_[i].at;
+  }
+  for (auto& [member, removed] : removals_) {
+    if (!removed.confirmed && (removed.at <= confirmed || is_fenced(member))) {
+      removed.confirmed = now;
+    }
+  }
+}
+
+bool grant_tracker::change_confirmed(std::size_t index) const {
+  const auto& before = pending_[index - 1].members;
+  const auto& change = pending_[index];
+  return majority_applied(before, change.at) ||
+         majority_applied(change.members, change.at);
+}
+
+bool grant_tracker::majority_applied(const std::set<member_key>& members,
+                                     model::offset at) const {
+  auto count = std::count_if(
+      members.begin(), members.end(), [&](const member_key& member) {
+        auto found = applied_.find(member);
+        return (found != applied_.end() && found->second >= at) ||
+               is_fenced(member);
+      });
+  return static_cast<std::size_t>(count) > members.size() / 2;
+}
+
+bool grant_tracker::is_fenced(const member_key& member) const {
+  auto latest = latest_.find(member.first);
+  if (latest != latest_.end() && latest->second > member.second) {
+    return true;
+  }
+  auto removed = removals_.find(member);
+  return removed != removals_.end() &&
+         (removed->second.reason == leave_reason::released ||
+          dead_.contains(member.first));
+}
+
+bool grant_tracker::is_settled(const member_key& member,
+                               model::offset at) const {
+  auto found = settled_at_.find(member);
+  return found != settled_at_.end() && found->second >= at;
+}
+
+bool grant_tracker::replaces_earlier(std::size_t index,
+                                     model::time_point now) const {
+  model::offset at = pending_[index].at;
+  // A removed member may still hold its grant of a view before the oldest known
+  // one, if this daemon joined after the removal.
+  for (const auto& [member, removed] : removals_) {
+    if (removed.at <= at && !is_gone(removed, now)) {
+      return false;
+    }
+  }
+  for (std::size_t i = 0; i <= index; ++i) {
+    const auto& members = pending_[i].members;
+    if (!std::all_of(members.begin(), members.end(),
+                     [&](const member_key& member) {
+                       return is_settled(member, at) || is_gone(member, now);
+                     })) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool grant_tracker::is_gone(const member_key& member,
+                            model::time_point now) const {
+  auto found = removals_.find(member);
+  return found != removals_.end() && is_gone(found->second, now);
+}
+
+bool grant_tracker::is_gone(const removal& removed,
+                            model::time_point now) const {
+  return removed.reason == leave_reason::released ||
+         (removed.confirmed && now - *removed.confirmed >= handover_);
+}
+
+void grant_tracker::forget(model::time_point now) {
+  auto in_use = [&](const member_key& member) {
+    return std::any_of(pending_.begin(), pending_.end(),
+                       [&](const membership_change& view) {
+                         return view.members.contains(member);
+                       });
+  };
+  std::erase_if(applied_,
+                [&](const auto& item) { return !in_use(item.first); });
+  std::erase_if(settled_at_,
+                [&](const auto& item) { return !in_use(item.first); });
+  std::erase_if(removals_, [&](const auto& item) {
+    return is_gone(item.second, now) && !in_use(item.first);
+  });
+  std::erase_if(latest_, [&](const auto& item) {
+    return !in_use({item.first, item.second}) &&
+           removals_.lower_bound({item.first, 0}) ==
+               removals_.upper_bound({item.first, item.second});
+  });
+}
+
+std::uint32_t grant_tracker::limit(std::string_view backend,
+                                   std::uint32_t slots) const {
+  std::uint32_t smallest = slots;
+  for (const auto& view : pending_) {
+    std::uint32_t granted =
+        view.members.contains(self_)
+            ? slots_granted(view.members, backend, slots, self_.first)
+            : 0;
+    smallest = std::min(smallest, granted);
+  }
+  return smallest;
+}
+
+}  // namespace vanillaladder::coordination
--- /dev/null
+++ b/packages/coordination/test/shard_state_test.cc
@@ -0,0 +1,179 @@
+#include "coordination/shard_state.h"
+
+#include <catch2/catch.hpp>
+
+#include "support.h"
+
+namespace vanillaladder::coordination {
+namespace {
+
+/// A shard stream with one owner, one worker and one job of two tasks.
+struct shard {
+  shard_state state;
+  model::offset next = 0;
+  std::map<model::instance_id, std::uint64_t> sequences;
+
+  shard_result add(shard_body body, const model::instance_id& writer = "a",
+                   model::epoch epoch = 1) {
+    return state.apply(
+        next++, {{writer, 1, ++sequences[writer]}, epoch, std::move(body)});
+  }
+  shard_result start(std::uint32_t attempt, std::uint32_t task = 0) {
+    return add(tasks_started{{{0, task, 0, attempt}}});
+  }
+  shard_result end(std::uint32_t attempt, task_outcome outcome,
+                   const std::string& checkpoint = {}) {
+    return add(tasks_ended{{{0, 0, attempt, outcome, checkpoint}}});
+  }
+  task_state task() const { return state.find_task(0, 0)->state; }
+};
+
+job_submitted job(const std::string& id, std::uint32_t tasks = 2) {
+  job_submitted out;
+  out.id = id;
+  out.tasks = tasks;
+  return out;
+}
+
+shard ready() {
+  shard log;
+  log.add(owner_claimed{"a", 1});
+  log.add(worker_registered{"w-1"});
+  log.add(job("j-1"));
+  return log;
+}
+
+}  // namespace
+
+// Guards against two owners: the order of the log decides.
+TEST_CASE("only the first claim of an epoch and its owner's records count") {
+  shard log;
+  CHECK(log.add(owner_claimed{"a", 1}).valid());
+  CHECK(log.add(owner_claimed{"b", 1}, "b").verdict ==
+        shard_verdict::stale_epoch);
+  CHECK(log.add(job("x"), "b").verdict == shard_verdict::stale_epoch);
+  CHECK(log.add(job("x"), "a", 0).verdict == shard_verdict::stale_epoch);
+  CHECK(log.add(owner_claimed{"b", 1}, "b", 2).valid());
+  CHECK(log.add(job("x"), "a").verdict == shard_verdict::stale_epoch);
+  CHECK(log.add(job("x"), "b", 2).valid());
+  CHECK(log.add(owner_released{}, "b", 2).valid());
+  CHECK_FALSE(log.state.owner());
+  CHECK_FALSE(log.add(job("y"), "b", 2).valid());
+  CHECK(log.add(owner_claimed{"b", 1}, "b", 3).valid());
+}
+
+// Guards guarantee 2: a second run of a task while the first may still run.
+TEST_CASE("a task starts only when its attempt has ended") {
+  auto log = ready();
+  CHECK(log.start(2).verdict == shard_verdict::wrong_state);
+  CHECK(log.start(1).valid());
+  CHECK(log.start(1).verdict == shard_verdict::wrong_state);
+  CHECK(log.start(2).verdict == shard_verdict::wrong_state);
+  CHECK(log.state.running() == std::vector<task_start>{{0, 0, 0, 1}});
+  CHECK(log.end(2, task_outcome::evicted).verdict ==
+        shard_verdict::wrong_state);
+  CHECK(log.end(1, task_outcome::evicted, "cp").valid());
+  CHECK(log.end(1, task_outcome::evicted).verdict ==
+        shard_verdict::wrong_state);
+  CHECK(log.start(2).valid());
+  CHECK(log.state.find_task(0, 0)->checkpoint == "cp");
+  CHECK(log.end(2, task_outcome::finished).valid());
+  CHECK(log.start(3).verdict == shard_verdict::wrong_state);
+}
+
+// Guards against a batch that hides a refused start among accepted ones.
+TEST_CASE("a batch names its refused entries") {
+  auto log = ready();
+  auto result = log.add(
+      tasks_started{{{0, 0, 0, 1}, {0, 0, 0, 1}, {0, 1, 9, 1}, {7, 0, 0, 1}}});
+  CHECK(result.verdict == shard_verdict::partly_accepted);
+  CHECK(result.rejected == std::vector<std::size_t>{1, 2, 3});
+}
+
+// Guards against cancelled tasks that start, and running ones that are lost.
+TEST_CASE("a cancelled job starts nothing and ends with its running tasks") {
+  auto log = ready();
+  log.start(1);
+  CHECK(log.add(job_cancelled{0}).valid());
+  CHECK(log.add(job_cancelled{0}).verdict == shard_verdict::wrong_state);
+  CHECK(log.start(1, 1).verdict == shard_verdict::wrong_state);
+  CHECK_FALSE(log.state.find_job(0)->ended);
+  CHECK(log.end(1, task_outcome::evicted).valid());
+  CHECK(log.state.find_job(0)->ended);
+  CHECK(log.start(2).verdict == shard_verdict::wrong_state);
+}
+
+// Guards against a submission that is repeated or delegated twice.
+TEST_CASE("a job is submitted once and delegated once, before any start") {
+  auto log = ready();
+  auto repeat = log.add(job("j-1"));
+  CHECK(repeat.verdict == shard_verdict::already_exists);
+  CHECK(repeat.job == 0U);
+  log.add(job("j-2"));
+  CHECK(log.add(job_delegated{1, 3}).valid());
+  CHECK(log.add(job_delegated{1, 4}).verdict == shard_verdict::wrong_state);
+  CHECK_FALSE(log.add(tasks_started{{{1, 0, 0, 1}}}).valid());
+  CHECK(log.state.find_job(1)->delegated_to == model::shard_id{3});
+  CHECK(log.add(job_cancelled{1}).valid());
+  log.start(1);
+  CHECK(log.add(job_delegated{0, 3}).verdict == shard_verdict::wrong_state);
+  CHECK(log.add(job("big", shard_state::max_tasks + 1)).verdict ==
+        shard_verdict::wrong_state);
+}
+
+// Guards guarantee 7: only the first claim of a key may send.
+TEST_CASE("an idempotency key is claimed once until it expires") {
+  auto log = ready();
+  CHECK(log.add(key_claimed{5, "e-1", 1, 10}).valid());
+  auto second = log.add(key_claimed{5, "e-2", 1, 11});
+  REQUIRE(second.first_claim);
+  CHECK(second.first_claim->claim.nonce == 10);
+  CHECK_FALSE(log.add(key_finished{5, 11, key_outcome::not_run, 0}).valid());
+  CHECK(log.add(key_finished{5, 10, key_outcome::answered, 200}).valid());
+  CHECK_FALSE(log.add(key_finished{5, 10, key_outcome::not_run, 0}).valid());
+  CHECK(log.add(key_claimed{6, "e-1", 1, 12}).valid());
+  CHECK(log.add(key_finished{6, 12, key_outcome::not_run, 0}).valid());
+  CHECK(log.add(key_claimed{6, "e-2", 1, 13}).valid());
+  CHECK(log.add(keys_expired{3}).valid());
+  CHECK(log.state.find_key(5) == nullptr);
+  CHECK(log.state.find_key(6) != nullptr);
+}
+
+// Guards against an ever-growing state, and against submissions that are
+// forgotten too early.
+TEST_CASE("the oldest ended jobs are forgotten") {
+  auto log = ready();
+  for (std::size_t i = 0; i <= shard_state::max_ended_jobs; ++i) {
+    auto added = log.add(job("n" + std::to_string(i), 1));
+    log.add(job_cancelled{added.job.value()});
+  }
+  CHECK_FALSE(log.state.find_job(model::job_id("n0")));
+  CHECK(log.state.find_job(model::job_id("n1")));
+  CHECK(log.state.jobs().size() == shard_state::max_ended_jobs + 1);
+  auto copy = shard_state::from_snapshot(log.state.to_snapshot());
+  CHECK(copy.value() == log.state);
+}
+
+// Guards against a snapshot that would make the fold read out of bounds.
+TEST_CASE("an inconsistent snapshot is refused") {
+  auto log = ready();
+  log.start(1);
+  auto snapshot = log.state.to_snapshot();
+  snapshot.workers.clear();
+  CHECK_FALSE(shard_state::from_snapshot(snapshot).ok());
+  snapshot = log.state.to_snapshot();
+  snapshot.ended_jobs.push_back(9);
+  CHECK_FALSE(shard_state::from_snapshot(snapshot).ok());
+  snapshot = log.state.to_snapshot();
+  snapshot.jobs.at(0).tasks.clear();
+  CHECK_FALSE(shard_state::from_snapshot(snapshot).ok());
+}
+
+// Guards the form of job ids, by which any daemon finds the home shard.
+TEST_CASE("a job id names its home shard") {
+  auto id = make_job_id("weekly-report");
+  CHECK(id.substr(3) == "-weekly-report");
+  CHECK(std::stoi(id.substr(1, 2)) == home_shard("weekly-report"));
+}
+
+}  // namespace vanillaladder::coordination
