Keep libwebsockets from ending exchanges after 5 s

Cause: a shard stream read with a wait of 5 s never returned. libwebsockets ends a client exchange whose answer takes more than 5 s, the default of its context, and reports a closed connection. For a proxied request this is worse than a failure: a close by the backend server allows a retry of an idempotent request, so a slow request could run twice at the same time.

Ruled out: the log stand-in. Nine concurrent reads by another HTTP client each returned after 5.0 s.

Change: the context's network timeout is 600 s; each exchange keeps its own timer.

The new test in http_test guards it.

Conclusion: fixed.

--- a/packages/http/src/event_loop.cc
+++ b/packages/http/src/event_loop.cc
@@ -14,6 +14,8 @@
 
 using clock = std::chrono::steady_clock;
 
+constexpr unsigned network_timeout_s = 600;
+
 void silence_library_log() {
   lws_set_log_level(LLL_ERR, nullptr);
 }
@@ -91,6 +93,9 @@
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.gid = static_cast<gid_t>(-1);
   info.uid = static_cast<uid_t>(-1);
+  // The library's own limit of 5 s on an answer looks like a close by the
+  // peer. Every exchange has a timer of its own, so this is only a backstop.
+  info.timeout_secs = network_timeout_s;
   info.fd_limit_per_thread = max_descriptors;
   info.max_http_header_pool = static_cast<unsigned short>(max_descriptors);
   context = lws_create_context(&info);
--- a/packages/http/test/server_test.cc
+++ b/packages/http/test/server_test.cc
@@ -144,6 +144,24 @@
   CHECK(disconnected);
 }
 
+// Guards against the library's own timeout of 5 s: it looks like a close by
+// the peer, after which an idempotent request is sent a second time although
+// the first attempt still runs.
+TEST_CASE("an answer after more than 5 s is received") {
+  fixture f;
+  auto server = server::listen(
+      f.loop, {}, [&](request, const std::shared_ptr<responder>& answer) {
+        f.loop.call_after(5500ms, [answer] {
+          answer->respond({200, {}, "x"});
+        });
+      });
+  REQUIRE(server.ok());
+  f.send_and_wait((*server)->port(), post("/", "x"));
+  auto* answer = std::get_if<response>(&f.results.at(0));
+  REQUIRE(answer != nullptr);
+  CHECK(answer->body == "x");
+}
+
 // Guards against a body above the limit being kept in memory.
 TEST_CASE("an oversized request is refused with 413") {
   fixture f;
