Write and replay traces of the batch decisions

Cause: a fault seen in real processes could not be repeated against the decision code.

Ruled out: a trace of the daemon's messages. It would need the daemon's threads for its replay; the shard machine is pure, so its events suffice.

Change: the setting trace.folder makes each shard driver write its events and actions; the program replay steps a new machine through them, requires the same actions and the stated counts, and refuses a task that is started twice. Free room of other shards goes to the machines every 500 ms instead of every tick, and a shard is read to its end before the reader waits for new records.

--- a/packages/control/include/control/shard_driver.h
+++ b/packages/control/include/control/shard_driver.h
@@ -12,6 +12,7 @@
 
 #include "control/peer_mesh.h"
 #include "control/shard_machine.h"
+#include "control/trace.h"
 #include "http/event_loop.h"
 #include "platform/log_service.h"
 #include "platform/worker_service.h"
@@ -25,6 +26,8 @@
   platform::log_service& log;
   platform::worker_service& workers;
   runtime::metrics& metrics;
+  /// Where traces are written; empty writes none.
+  std::string trace_folder;
 };
 
 /// Calls to the owners of other shards.
@@ -93,6 +96,7 @@
   model::shard_id shard_;
   std::string stream_;
   shard_machine machine_;
+  std::unique_ptr<trace_writer> trace_;
   bool following_ = false;
   bool reading_ = false;
   bool at_end_ = false;
--- a/packages/control/include/control/shard_set.h
+++ b/packages/control/include/control/shard_set.h
@@ -107,6 +107,7 @@
   runtime::logger logger_{"shards"};
   std::array<slot, model::shard_count> shards_;
   std::optional<model::time_point> last_release_;
+  model::time_point last_rooms_{};
   std::uint64_t last_nonce_ = 0;
   std::vector<model::worker_info> workers_;
   batch_policy policy_;
--- a/packages/control/src/control_plane.cc
+++ b/packages/control/src/control_plane.cc
@@ -95,8 +95,9 @@
   stream_ = std::make_unique<control_stream>(loop_, log_, metrics_, self_,
                                              std::move(hooks));
   shards_ = std::make_unique<shard_set>(
-      shard_environment{loop_, log_, workers_, metrics_}, mesh_, self_,
-      make_shard_limits(settings.settings.limits));
+      shard_environment{loop_, log_, workers_, metrics_,
+                        settings.settings.trace_folder},
+      mesh_, self_, make_shard_limits(settings.settings.limits));
 }
 
 control_plane::~control_plane() = default;
--- a/packages/control/src/shard_driver.cc
+++ b/packages/control/src/shard_driver.cc
@@ -241,11 +241,16 @@
 shard_driver::shard_driver(shard_environment environment, shard_peers& peers,
                            model::shard_id shard, const caller_identity& self,
                            const shard_limits& limits)
-    : environment_(environment),
+    : environment_(std::move(environment)),
       peers_(peers),
       shard_(shard),
       stream_(absl::StrFormat("shard-%02d", shard)),
-      machine_(shard, self.id, self.incarnation, limits) {}
+      machine_(shard, self.id, self.incarnation, limits) {
+  if (!environment_.trace_folder.empty()) {
+    trace_ = std::make_unique<trace_writer>(environment_.trace_folder, shard,
+                                            self.id, self.incarnation, limits);
+  }
+}
 
 shard_driver::~shard_driver() {
   *alive_ = false;
@@ -264,7 +269,10 @@
     at_end_ = false;
     return;
   }
-  environment_.log.read(stream_, machine_.next_offset(), read_limit, read_wait,
+  // Nothing is claimed before the end of the stream is known, so the reads up
+  // to it do not wait for new records.
+  environment_.log.read(stream_, machine_.next_offset(), read_limit,
+                        at_end_ ? read_wait : milliseconds(0),
                         [this, alive = alive_](auto result) {
                           if (*alive) {
                             on_read(std::move(result));
@@ -302,8 +310,12 @@
   // whole before the next event, so that appends keep their order.
   performer perform(*this);
   while (!pending_events_.empty()) {
-    for (const auto& next :
-         machine_.step(pending_events_.front(), clock::now())) {
+    auto now = clock::now();
+    auto taken = machine_.step(pending_events_.front(), now);
+    if (trace_ != nullptr) {
+      trace_->write(pending_events_.front(), now, taken);
+    }
+    for (const auto& next : taken) {
       std::visit(perform, next);
     }
     pending_events_.pop_front();
--- a/packages/control/src/shard_set.cc
+++ b/packages/control/src/shard_set.cc
@@ -14,6 +14,7 @@
 
 /// Least time between two claims or releases of one shard by this daemon.
 constexpr milliseconds request_interval{1000};
+constexpr milliseconds room_interval{500};
 
 std::vector<model::worker_info> workers_of(
     const std::vector<model::worker_info>& workers, model::shard_id shard) {
@@ -45,7 +46,7 @@
 
 shard_set::shard_set(shard_environment environment, peer_mesh& mesh,
                      caller_identity self, const shard_limits& limits)
-    : environment_(environment),
+    : environment_(std::move(environment)),
       mesh_(mesh),
       self_(std::move(self)),
       limits_(limits) {}
@@ -90,7 +91,10 @@
     decide(place, shard, context, now);
     place.driver->poll(now);
   }
-  share_rooms();
+  if (now - last_rooms_ >= room_interval) {
+    last_rooms_ = now;
+    share_rooms();
+  }
 }
 
 void shard_set::decide(slot& place, model::shard_id shard,
--- /dev/null
+++ b/packages/control/src/trace.cc
@@ -0,0 +1,174 @@
+#include "control/trace.h"
+
+#include <istream>
+#include <optional>
+#include <utility>
+
+#include "runtime/error.h"
+#include "trace_json.h"
+
+namespace vanillaladder::control {
+namespace {
+
+using nlohmann::json;
+
+/// Writes a variant as its index and its value.
+template <class Variant>
+json to_tagged(const Variant& value) {
+  return std::visit(
+      [&](const auto& body) {
+        return json::array({value.index(), json(body)});
+      },
+      value);
+}
+
+template <std::size_t Index = 0>
+event event_from(std::size_t index, const json& body) {
+  if constexpr (Index == std::variant_size_v<event>) {
+    throw std::invalid_argument("unknown event");
+  } else {
+    if (index == Index) {
+      return body.get<std::variant_alternative_t<Index, event>>();
+    }
+    return event_from<Index + 1>(index, body);
+  }
+}
+
+json to_json_list(std::span<const action> taken) {
+  auto list = json::array();
+  for (const auto& item : taken) {
+    list.push_back(to_tagged(item));
+  }
+  return list;
+}
+
+absl::Status problem(std::uint64_t line, std::string_view message) {
+  return runtime::make_error(absl::StatusCode::kFailedPrecondition,
+                             "replay line " + std::to_string(line), "",
+                             message);
+}
+
+/// Checks that attempts of a task follow each other, by the records and
+/// actions of one machine.
+class attempt_checker {
+ public:
+  /// @return what is wrong with the actions, if anything.
+  std::optional<std::string> check(std::span<const action> taken,
+                                   replay_result& result) {
+    for (const auto& item : taken) {
+      const auto* start = std::get_if<actions::start_task>(&item);
+      if (start == nullptr) {
+        continue;
+      }
+      ++result.starts;
+      const auto& id = start->start.id;
+      if (id.attempt <= started_[id.task]) {
+        return "attempt " + std::to_string(id.attempt) + " of " + id.task +
+               " is started twice";
+      }
+      started_[id.task] = id.attempt;
+    }
+    return std::nullopt;
+  }
+
+ private:
+  std::map<std::string, std::uint32_t> started_;
+};
+
+void count_ends(const event& input, replay_result& result) {
+  const auto* read = std::get_if<events::log_read>(&input);
+  if (read == nullptr) {
+    return;
+  }
+  for (const auto& stored : read->read.records) {
+    auto record = coordination::decode_shard(stored.bytes);
+    const auto* ended =
+        record.ok() ? std::get_if<coordination::tasks_ended>(&record->body)
+                    : nullptr;
+    if (ended == nullptr) {
+      continue;
+    }
+    for (const auto& end : ended->ends) {
+      result.finished += end.outcome == coordination::task_outcome::finished;
+      result.evicted += end.outcome == coordination::task_outcome::evicted;
+      result.lost += end.outcome == coordination::task_outcome::lost;
+    }
+  }
+}
+
+shard_machine machine_from(const json& header) {
+  if (header.at("trace") != trace_format) {
+    throw std::invalid_argument("unknown trace format");
+  }
+  shard_limits limits;
+  limits.lease_ms = header.at("lease_ms").get<std::int64_t>();
+  limits.blind_renewal_limit_ms =
+      header.at("blind_renewal_limit_ms").get<std::int64_t>();
+  return shard_machine(header.at("shard").get<model::shard_id>(),
+                       header.at("instance").get<model::instance_id>(),
+                       header.at("incarnation").get<model::incarnation>(),
+                       limits);
+}
+
+}  // namespace
+
+trace_writer::trace_writer(const std::string& folder, model::shard_id shard,
+                           const model::instance_id& instance,
+                           model::incarnation incarnation,
+                           const shard_limits& limits)
+    : file_(folder + "/" + std::to_string(shard) + "-" + instance + "-" +
+            std::to_string(incarnation) + ".jsonl") {
+  file_ << json({{"trace", trace_format},
+                 {"shard", shard},
+                 {"instance", instance},
+                 {"incarnation", incarnation},
+                 {"lease_ms", limits.lease_ms},
+                 {"blind_renewal_limit_ms", limits.blind_renewal_limit_ms}})
+               .dump()
+        << std::endl;
+}
+
+void trace_writer::write(const event& input, model::time_point now,
+                         std::span<const action> taken) {
+  if (!file_) {
+    return;
+  }
+  json line = {{"now", now},
+               {"event", to_tagged(input)},
+               {"actions", to_json_list(taken)}};
+  // A killed process must leave whole lines.
+  file_ << line.dump() << std::endl;
+}
+
+absl::StatusOr<replay_result> replay_trace(std::istream& trace) {
+  std::string text;
+  std::uint64_t line = 1;
+  replay_result result;
+  attempt_checker checker;
+  try {
+    std::getline(trace, text);
+    auto machine = machine_from(json::parse(text));
+    while (std::getline(trace, text)) {
+      ++line;
+      auto step = json::parse(text);
+      const auto& tagged = step.at("event");
+      auto input = event_from(tagged.at(0).get<std::size_t>(), tagged.at(1));
+      auto taken = machine.step(input, step.at("now").get<model::time_point>());
+      ++result.steps;
+      count_ends(input, result);
+      if (auto wrong = checker.check(taken, result)) {
+        return problem(line, *wrong);
+      }
+      auto actual = to_json_list(taken);
+      if (actual != step.at("actions")) {
+        return problem(line, "recorded " + step.at("actions").dump() +
+                                 ", decided " + actual.dump());
+      }
+    }
+  } catch (const std::exception& error) {
+    return problem(line, error.what());
+  }
+  return result;
+}
+
+}  // namespace vanillaladder::control
--- a/packages/runtime/include/runtime/settings.h
+++ b/packages/runtime/include/runtime/settings.h
@@ -61,6 +61,9 @@
   endpoint_settings instances;
   limit_settings limits;
   log_level logging_level = log_level::info;
+  /// Section `[trace]`, key `folder`: where decision traces are written; empty
+  /// writes none.
+  std::string trace_folder;
 };
 
 /// Reads settings from TOML text.
--- a/packages/runtime/src/settings.cc
+++ b/packages/runtime/src/settings.cc
@@ -111,6 +111,16 @@
   return R"("debug", "info", "warn" or "error")";
 }
 
+std::string store_trace_folder(const toml::node& node,
+                               daemon_settings& settings) {
+  auto value = node.value_exact<std::string>();
+  if (!value || value->empty()) {
+    return "a path";
+  }
+  settings.trace_folder = *value;
+  return "";
+}
+
 const std::vector<known_key>& known_keys() {
   using all = daemon_settings;
   using place = instance_settings;
@@ -152,6 +162,7 @@
       {"limits", "drain_delay_ms", false,
        number_in(&all::limits, &limits::drain_delay, 0, 60000)},
       {"logging", "level", false, store_level},
+      {"trace", "folder", false, store_trace_folder},
   };
   return keys;
 }
