Add batch decisions: placement and the shard machine

Cause: nothing decided which worker runs which task, or who may place work on a worker after a change of owner.

Ruled out: resetting the count of unanswered renewals when a later one is answered. An unanswered renewal may still be in transit and extend the lease a fourth time, so the bound of three durations would not hold; a lease with two unanswered renewals is replaced by a new one instead. Also ruled out: a failed attempt as the final result of its task, since a worker that fails everything would then lose tasks; a task fails with its third failed attempt.

Change: placement, interference, quotas, probation, learned sizes and paced evacuation in packages/scheduling; the shard machine with handover, leases, proofs of the end, eviction, cancellation and delegation in packages/control.

Conclusion: the decisions hold in virtual time against fake workers; they have not been run against real sockets here.

--- a/packages/control/include/control/detail/shard_core.h
+++ b/packages/control/include/control/detail/shard_core.h
@@ -184,7 +184,8 @@
   // Log.
   coordination::shard_reader reader;
   coordination::append_tracker tracker;
-  std::map<coordination::record_id, detail::waiting_record> waiting;
+  /// By sequence number of the record.
+  std::map<std::uint64_t, detail::waiting_record> waiting;
   std::map<model::epoch, detail::former_owner> owners;
   std::map<task_key, model::epoch> start_epochs;
   bool owner = false;
--- /dev/null
+++ b/packages/control/test/shard_machine_test.cc
@@ -0,0 +1,353 @@
+#include "control/shard_machine.h"
+
+#include <catch2/catch.hpp>
+
+#include "shard_simulation.h"
+
+namespace vanillaladder::control {
+namespace {
+
+using model::milliseconds;
+using std::chrono::seconds;
+using testing::simulation;
+
+const model::resources small{1000, 500, 0};
+
+bool ended(simulation& sim, const std::string& key) {
+  const auto* const job = sim.job(key);
+  return job != nullptr && job->ended;
+}
+
+/// A simulation whose first owner has opened its workers.
+struct settled : simulation {
+  explicit settled(std::size_t daemons = 1, std::size_t worker_count = 3)
+      : simulation(1, daemons, worker_count) {
+    run_for(seconds(2));
+    REQUIRE(owner() != nullptr);
+    old = owner();
+    next = &at(old == &at(0) ? 1 : 0);
+  }
+
+  /// The first owner, and the daemon that takes over.
+  daemon* old = nullptr;
+  daemon* next = nullptr;
+};
+
+}  // namespace
+
+TEST_CASE("all tasks of a job run once", "[shard_machine]") {
+  settled sim;
+  const auto token = sim.submit("a", 5, 3'000, small);
+  REQUIRE(sim.run_until(seconds(30), [&] { return ended(sim, "a"); }));
+  CHECK(sim.job("a")->finished == 5);
+  CHECK(sim.starts() == 5);
+  CHECK(sim.at(0).submits.at(token).result == submit_result::created);
+  const auto repeat = sim.submit("a", 5, 3'000, small);
+  sim.run_for(seconds(1));
+  CHECK(sim.at(0).submits.at(repeat).result == submit_result::exists);
+  CHECK(sim.starts() == 5);
+}
+
+TEST_CASE("a job that fits nowhere is refused at once with the reason",
+          "[shard_machine]") {
+  settled sim;
+  const auto token = sim.submit("a", 1, 1'000, {9'000, 500, 0});
+  const auto& reply = sim.at(0).submits.at(token);
+  CHECK(reply.result == submit_result::never_fits);
+  CHECK(reply.reason.find("cpu_millis") != std::string::npos);
+}
+
+TEST_CASE("a start is sent only after its record was read back",
+          "[shard_machine]") {
+  settled sim;
+  sim.submit("a", 3, 1'000, small);
+  REQUIRE(sim.run_until(seconds(5), [&] { return sim.job("a") != nullptr; }));
+  sim.log_down_until = sim.now + seconds(10);
+  sim.run_for(seconds(9));
+  CHECK(sim.starts() == 0);
+  CHECK(sim.run_until(seconds(20), [&] { return ended(sim, "a"); }));
+}
+
+TEST_CASE("nothing starts while the view is stale", "[shard_machine]") {
+  settled sim;
+  sim.submit("a", 3, 1'000, small);
+  REQUIRE(sim.run_until(seconds(5), [&] { return sim.job("a") != nullptr; }));
+  sim.fresh = false;
+  sim.run_for(seconds(5));
+  const auto before = sim.starts();
+  sim.run_for(seconds(10));
+  CHECK(sim.starts() == before);
+  const auto token = sim.submit("b", 1, 1'000, small);
+  CHECK(sim.at(0).submits.at(token).result == submit_result::not_run);
+}
+
+TEST_CASE("running tasks survive a paused owner and its return",
+          "[shard_machine]") {
+  settled sim(2);
+  sim.submit("a", 6, 40'000, small);
+  sim.run_for(seconds(3));
+  REQUIRE(sim.starts() == 6);
+  sim.old->paused_until = sim.now + seconds(20);
+  REQUIRE(
+      sim.run_until(seconds(10), [&] { return sim.next->machine->owned(); }));
+  sim.submit("b", 6, 5'000, small);
+  CHECK(sim.run_until(seconds(60),
+                      [&] { return ended(sim, "a") && ended(sim, "b"); }));
+  CHECK(sim.starts() == 12);
+  CHECK(sim.violations.empty());
+}
+
+TEST_CASE("a drained owner releases and the next one adopts",
+          "[shard_machine]") {
+  settled sim(2);
+  sim.submit("a", 4, 30'000, small);
+  sim.run_for(seconds(3));
+  sim.deliver(*sim.old, events::drain_requested{});
+  REQUIRE(sim.run_until(seconds(5), [&] { return sim.old->machine->idle(); }));
+  CHECK(sim.run_until(seconds(60), [&] { return ended(sim, "a"); }));
+  CHECK(sim.starts() == 4);
+}
+
+TEST_CASE("without lease deletion the new owner waits for the expiry",
+          "[shard_machine]") {
+  settled sim(2, 1);
+  sim.workers["w0"].deletes_leases = false;
+  sim.submit("a", 1, 60'000, small);
+  sim.run_for(seconds(3));
+  sim.old->stopped = true;
+  const auto expires = sim.workers["w0"].leases.begin()->second.expires;
+  sim.old->paused_until = sim.now + seconds(1'000);
+  REQUIRE(
+      sim.run_until(seconds(10), [&] { return sim.next->machine->owned(); }));
+  sim.submit("b", 1, 1'000, small);
+  CHECK(sim.run_until(seconds(30), [&] { return ended(sim, "b"); }));
+  const auto& starts = sim.workers["w0"].starts;
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[1].first >= expires);
+}
+
+TEST_CASE("the time rule frees tasks of a silent worker, not earlier",
+          "[shard_machine]") {
+  settled sim(1, 2);
+  sim.submit("a", 4, 90'000, small);
+  sim.run_for(seconds(3));
+  const auto cut_at = sim.now;
+  sim.at(0).cut["w0"] = sim.now + seconds(300);
+  REQUIRE(sim.running("w0") > 0);
+  const auto before = sim.starts();
+  // A renewal may have been answered up to a quarter of a lease earlier.
+  sim.run_for(milliseconds(30'300 - 2'600));
+  CHECK(sim.starts() == before);
+  CHECK(sim.run_until(seconds(5), [&] { return sim.starts() > before; }));
+  CHECK(sim.now >= cut_at + milliseconds(27'700));
+  CHECK(sim.run_until(seconds(200), [&] { return ended(sim, "a"); }));
+  CHECK(sim.violations.empty());
+}
+
+TEST_CASE("worker and former owner silent: tasks wait for a proof",
+          "[shard_machine]") {
+  settled sim(2, 2);
+  sim.submit("a", 4, 200'000, small);
+  sim.run_for(seconds(3));
+  const auto before = sim.starts();
+  REQUIRE(sim.running("w0") > 0);
+  sim.next->cut["w0"] = sim.now + seconds(1'000);
+  sim.old->stopped = true;
+  sim.old->paused_until = sim.now + seconds(1'000);
+  REQUIRE(
+      sim.run_until(seconds(10), [&] { return sim.next->machine->owned(); }));
+  SECTION("until the blind renewal limit and three leases") {
+    sim.run_for(seconds(88));
+    CHECK(sim.starts() == before);
+    CHECK(sim.run_until(seconds(6), [&] { return sim.starts() > before; }));
+  }
+  SECTION("until the former owner is back and the time rule has passed") {
+    sim.restart(*sim.old);
+    sim.run_for(seconds(29));
+    CHECK(sim.starts() == before);
+    CHECK(sim.run_until(seconds(5), [&] { return sim.starts() > before; }));
+  }
+  SECTION("until an operator confirms that the worker is dead") {
+    auto policy = sim.policy;
+    policy.dead.insert("w0");
+    sim.set_policy(policy);
+    CHECK(sim.run_until(seconds(3), [&] { return sim.starts() > before; }));
+  }
+}
+
+TEST_CASE("a lost start is repeated only after its lease has ended",
+          "[shard_machine]") {
+  settled sim(1, 1);
+  sim.submit("a", 1, 2'000, small);
+  REQUIRE(sim.run_until(seconds(5), [&] { return sim.job("a") != nullptr; }));
+  const auto first_lease = sim.workers["w0"].leases.begin()->first;
+  sim.at(0).cut["w0"] = sim.now + milliseconds(1'500);
+  CHECK(sim.run_until(seconds(40), [&] { return ended(sim, "a"); }));
+  CHECK(sim.starts() == 1);
+  CHECK_FALSE(sim.workers["w0"].leases.contains(first_lease));
+}
+
+TEST_CASE("tasks of a domain that is taken out resume elsewhere once",
+          "[shard_machine]") {
+  settled sim(1, 6);
+  sim.submit("a", 12, 30'000, small);
+  sim.run_for(seconds(3));
+  const auto moved = sim.running("w0") + sim.running("w3");
+  REQUIRE(moved > 0);
+  sim.policy.domains_out.insert("d0");
+  sim.set_policy(sim.policy);
+  const auto out_at = sim.now;
+  REQUIRE(sim.run_until(
+      seconds(30), [&] { return sim.running("w0") + sim.running("w3") == 0; }));
+  // 20 checkpoints a second are divided among the shards.
+  CHECK(sim.now - out_at >=
+        milliseconds(50) * model::placement_shard_count * (moved - 1));
+  CHECK(sim.run_until(seconds(60), [&] { return ended(sim, "a"); }));
+  CHECK(sim.starts() == 12 + moved);
+  CHECK(sim.at(0).counts["evictions/domain-out"] == moved);
+  for (const auto* const name : {"w0", "w3"})
+    for (const auto& [at, id] : sim.workers[name].starts)
+      CHECK(at <= out_at);
+  sim.policy.domains_out.clear();
+  sim.set_policy(sim.policy);
+  sim.submit("b", 40, 20'000, small);
+  sim.run_for(seconds(3));
+  // A returning worker offers its capacity over 20 s.
+  CHECK(sim.running("w0") <= 2);
+  CHECK(sim.run_until(seconds(120), [&] { return ended(sim, "b"); }));
+}
+
+TEST_CASE("a cancelled pending task never starts", "[shard_machine]") {
+  settled sim(1, 1);
+  sim.submit("a", 7, 20'000, small);
+  sim.run_for(seconds(8));
+  for (int i = 0; i < 20; ++i)
+    sim.submit("p" + std::to_string(i), 1, 1'000, small);
+  sim.run_for(seconds(1));
+  const auto before = sim.starts();
+  const auto appended = sim.log.size();
+  for (int i = 0; i < 20; ++i)
+    sim.cancel("p" + std::to_string(i));
+  sim.cancel("a");
+  REQUIRE(sim.run_until(seconds(10), [&] { return ended(sim, "a"); }));
+  for (int i = 0; i < 20; ++i)
+    CHECK(ended(sim, "p" + std::to_string(i)));
+  sim.run_for(seconds(10));
+  CHECK(sim.starts() == before);
+  CHECK(sim.running("w0") == 0);
+  // 21 cancellations and few records for the ends of the running tasks.
+  CHECK(sim.log.size() - appended <= 30);
+}
+
+TEST_CASE("a worker that fails everything gets five starts a minute",
+          "[shard_machine]") {
+  settled sim;
+  sim.workers["w0"].fails_everything = true;
+  for (int i = 0; i < 10; ++i)
+    sim.submit("a" + std::to_string(i), 8, 4'000, small);
+  const auto begin = sim.now;
+  REQUIRE(sim.run_until(seconds(90), [&] {
+    for (int i = 0; i < 10; ++i)
+      if (!ended(sim, "a" + std::to_string(i)))
+        return false;
+    return true;
+  }));
+  for (int i = 0; i < 10; ++i)
+    CHECK(sim.job("a" + std::to_string(i))->finished == 8);
+  const auto& starts = sim.workers["w0"].starts;
+  CHECK(std::ranges::count_if(starts, [&](const auto& start) {
+          return start.first - begin <= seconds(60);
+        }) <= 5);
+}
+
+TEST_CASE("a worker is filled by observed peaks, not declared sizes",
+          "[shard_machine]") {
+  settled sim(1, 1);
+  sim.workers["w0"].usage_percent = 150;
+  // Four fit as declared, but use 3,000 MiB of 8,000 each.
+  sim.submit("a", 6, 10'000, {500, 2'000, 0});
+  sim.run_for(seconds(5));
+  for (int i = 0; i < 100; ++i) {
+    sim.run_for(milliseconds(500));
+    CHECK(sim.running("w0") <= 2);
+  }
+  CHECK(sim.at(0).counts["evictions/overcommitted"] >= 1);
+  CHECK(sim.run_until(seconds(60), [&] { return ended(sim, "a"); }));
+}
+
+TEST_CASE("interference is answered by a throttle before an eviction",
+          "[shard_machine]") {
+  settled sim(1, 1);
+  sim.submit("a", 2, 60'000, small);
+  sim.run_for(seconds(3));
+  sim.workers["w0"].slowdown_percent = 150;
+  REQUIRE(sim.run_until(
+      seconds(20), [&] { return sim.at(0).counts["throttles/tighten"] == 1; }));
+  CHECK(sim.at(0).counts["evictions/interference"] == 0);
+  SECTION("lifted when the slowdown is well below the limit") {
+    sim.workers["w0"].slowdown_percent = 105;
+    CHECK(sim.run_until(
+        seconds(30), [&] { return sim.at(0).counts["throttles/lift"] == 1; }));
+  }
+  SECTION("evicted when the lowest throttle does not help") {
+    CHECK(sim.run_until(seconds(60), [&] {
+      return sim.at(0).counts["evictions/interference"] >= 1;
+    }));
+    CHECK(sim.at(0).counts["throttles/tighten"] == 2);
+  }
+}
+
+TEST_CASE("a straggler is reported and moved once by checkpoint",
+          "[shard_machine]") {
+  settled sim(1, 2);
+  // Declared as 1 s, runs for 20 s.
+  sim.deliver(
+      sim.at(0),
+      events::submit_job{
+          99, {"s03-a", "team", "sync", 1, small, "20000", 1'000}, false});
+  CHECK(sim.run_until(seconds(60), [&] { return ended(sim, "a"); }));
+  CHECK(sim.at(0).counts["stragglers/sync"] == 2);
+  CHECK(sim.at(0).counts["evictions/straggler"] == 1);
+  CHECK(sim.starts() == 2);
+  CHECK(sim.violations.empty());
+}
+
+TEST_CASE("a large job is not overtaken for ever by small ones",
+          "[shard_machine]") {
+  settled sim(1, 1);
+  sim.submit("s", 200, 5'000, small);
+  sim.run_for(seconds(3));
+  sim.submit("large", 1, 1'000, {7'500, 500, 0});
+  CHECK(sim.run_until(seconds(60), [&] { return ended(sim, "large"); }));
+  CHECK_FALSE(ended(sim, "s"));
+}
+
+TEST_CASE("urgent tasks find room on workers full of batch tasks",
+          "[shard_machine]") {
+  settled sim;
+  sim.policy.reserve_percent = 15;
+  sim.policy.class_kinds["quote"] = class_kind::urgent;
+  sim.set_policy(sim.policy);
+  sim.submit("batch", 60, 60'000, small);
+  sim.run_for(seconds(30));
+  const auto before = sim.starts();
+  sim.submit("u", 3, 1'000, small, "quote");
+  CHECK(sim.run_until(milliseconds(1'900),
+                      [&] { return sim.starts() == before + 3; }));
+}
+
+TEST_CASE("a team's quota limits what it occupies", "[shard_machine]") {
+  settled sim;
+  // Divided among the shards, 2,000 are left for this one.
+  sim.policy.teams["team"] = {
+      10, {std::int64_t{2'000} * model::placement_shard_count, -1, -1}};
+  sim.set_policy(sim.policy);
+  sim.submit("a", 8, 5'000, small);
+  for (int i = 0; i < 20; ++i) {
+    sim.run_for(milliseconds(500));
+    CHECK(sim.running("w0") + sim.running("w1") + sim.running("w2") <= 2);
+  }
+  CHECK(sim.run_until(seconds(60), [&] { return ended(sim, "a"); }));
+}
+
+}  // namespace vanillaladder::control
--- /dev/null
+++ b/packages/control/test/shard_simulation.h
@@ -0,0 +1,539 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "control/detail/shard_types.h"
+#include "control/shard_machine.h"
+
+/// Shard machines over a fake log and fake workers, in virtual time.
+namespace vanillaladder::control::testing {
+
+using model::milliseconds;
+using model::time_point;
+
+/// Runs tasks whose command is their run time in ms and whose checkpoint is
+/// the part that is done. Checks leases, as the platform does, and nothing
+/// else; records what must not happen in `violations`.
+class fake_worker {
+ public:
+  struct lease {
+    std::string holder;
+    milliseconds duration;
+    time_point expires;
+  };
+  struct run {
+    platform::task_start start;
+    platform::task_state state = platform::task_state::running;
+    time_point since;
+    int throttle = 100;
+  };
+
+  struct by_name {
+    bool operator()(const attempt_id& a, const attempt_id& b) const {
+      return std::tie(a.task, a.attempt) < std::tie(b.task, b.attempt);
+    }
+  };
+
+  model::worker_info info;
+  bool fails_everything = false;
+  bool deletes_leases = true;
+  /// Processors that a task uses over those that it declared, in percent.
+  std::int64_t usage_percent = 100;
+  std::int64_t slowdown_percent = 0;
+  std::map<lease_id, lease> leases;
+  std::map<attempt_id, run, by_name> runs;
+  std::vector<std::pair<time_point, attempt_id>> starts;
+
+  void advance(time_point now) {
+    for (auto& [id, task] : runs) {
+      if (task.state != platform::task_state::running)
+        continue;
+      const auto held = leases.find(task.start.lease);
+      const auto until =
+          held == leases.end() ? now : std::min(now, held->second.expires);
+      if (until - task.since >= left(task)) {
+        task.state = platform::task_state::finished;
+      } else if (held == leases.end() || held->second.expires <= now) {
+        stop(task, until);
+      }
+    }
+    std::erase_if(leases, [now](const auto& entry) {
+      return entry.second.expires <= now;
+    });
+  }
+
+  void stop(run& task, time_point now) {
+    checkpoint(task, now);
+    task.state = platform::task_state::stopped;
+  }
+
+  void checkpoint(run& task, time_point now) {
+    const auto done = std::chrono::duration_cast<milliseconds>(
+        now - task.since + total(task) - left(task));
+    task.start.checkpoint = std::to_string(done.count());
+    task.since = now;
+  }
+
+  bool start(const platform::task_start& task, time_point now) {
+    if (!leases.contains(task.lease))
+      return false;
+    starts.emplace_back(now, task.id);
+    runs[task.id] = {task,
+                     fails_everything ? platform::task_state::failed
+                                      : platform::task_state::running,
+                     now, 100};
+    return true;
+  }
+
+  run* running(const attempt_id& id) {
+    const auto found = runs.find(id);
+    return found != runs.end() &&
+                   found->second.state == platform::task_state::running
+               ? &found->second
+               : nullptr;
+  }
+
+  model::resources load() const {
+    model::resources sum;
+    for (const auto& [id, task] : runs)
+      if (task.state == platform::task_state::running)
+        sum += task.start.size;
+    return sum;
+  }
+
+  platform::worker_report report() const {
+    platform::worker_report out;
+    out.usage.slowdown_percent = runs.empty() ? 0 : slowdown_percent;
+    for (const auto& [id, held] : leases)
+      out.leases.push_back({id, held.holder, milliseconds(0)});
+    for (const auto& [id, task] : runs) {
+      platform::usage_report used;
+      used.used = task.start.size;
+      used.used.memory_mib = used.used.memory_mib * usage_percent / 100;
+      out.tasks.push_back(
+          {id, task.state, task.start.lease, task.start.checkpoint, used});
+    }
+    return out;
+  }
+
+ private:
+  static milliseconds total(const run& task) {
+    return milliseconds(std::stol(task.start.command));
+  }
+  static milliseconds left(const run& task) {
+    const auto& done = task.start.checkpoint;
+    return total(task) - milliseconds(done.empty() ? 0 : std::stol(done));
+  }
+};
+
+class simulation {
+ public:
+  struct daemon {
+    model::instance_id id;
+    model::incarnation incarnation = 1;
+    std::unique_ptr<shard_machine> machine;
+    time_point paused_until;
+    bool stopped = false;
+    /// Workers that it cannot reach, and until when.
+    std::map<model::worker_id, time_point> cut;
+    time_point next_tick;
+    std::map<request_token, actions::reply_submit> submits;
+    std::map<request_token, actions::reply_cancel> cancels;
+    std::map<std::string, std::uint64_t> counts;
+  };
+
+  explicit simulation(std::uint64_t seed = 1, std::size_t daemons = 1,
+                      std::size_t worker_count = 3)
+      : random_(seed) {
+    limits.blind_renewal_limit_ms = 60'000;
+    for (std::size_t i = 0; i < worker_count; ++i) {
+      fake_worker& worker = workers["w" + std::to_string(i)];
+      worker.info = {"w" + std::to_string(i),
+                     "127.0.0.1",
+                     1,
+                     "d" + std::to_string(i % 3),
+                     "r" + std::to_string(i),
+                     {8000, 8000, 1},
+                     model::instance_state::live};
+    }
+    for (std::size_t i = 0; i < daemons; ++i) {
+      members_.emplace_back(std::make_unique<daemon>());
+      members_.back()->id = "i" + std::to_string(i);
+      boot(*members_.back());
+    }
+  }
+
+  simulation(const simulation&) = delete;
+  simulation& operator=(const simulation&) = delete;
+
+  daemon& at(std::size_t i) { return *members_[i % members_.size()]; }
+
+  void boot(daemon& member) {
+    member.machine = std::make_unique<shard_machine>(
+        model::shard_id{3}, member.id, member.incarnation, limits);
+    member.paused_until = now;
+    member.stopped = false;
+    deliver(member, events::workers_changed{infos()});
+    deliver(member, events::policy_changed{policy});
+    deliver(member, events::view_freshness_changed{true, true, false});
+    poll(member, member.incarnation);
+    std::map<model::instance_id, model::incarnation> all;
+    for (const auto& other : members_)
+      all[other->id] = other->incarnation;
+    for (const auto& other : members_)
+      deliver(*other, events::members_changed{all});
+  }
+
+  void restart(daemon& member) {
+    ++member.incarnation;
+    boot(member);
+  }
+
+  void set_policy(const batch_policy& changed) {
+    policy = changed;
+    for (const auto& member : members_)
+      deliver(*member, events::policy_changed{policy});
+  }
+
+  std::vector<model::worker_info> infos() const {
+    std::vector<model::worker_info> all;
+    for (const auto& [id, worker] : workers)
+      all.push_back(worker.info);
+    return all;
+  }
+
+  /// Submits a job of `tasks` that run for `run_ms` to the current owner.
+  request_token submit(const std::string& key, std::uint32_t tasks,
+                       std::int64_t run_ms, const model::resources& size,
+                       const std::string& job_class = "sync") {
+    daemon* const target = owner();
+    const auto token = ++last_token_;
+    if (target != nullptr)
+      deliver(*target,
+              events::submit_job{token,
+                                 {"s03-" + key, "team", job_class, tasks, size,
+                                  std::to_string(run_ms), run_ms},
+                                 false});
+    return token;
+  }
+
+  void cancel(const std::string& key) {
+    if (daemon* const target = owner())
+      deliver(*target, events::cancel_job{++last_token_, "s03-" + key});
+  }
+
+  daemon* owner() {
+    for (const auto& member : members_)
+      if (member->machine->owned() && now >= member->paused_until)
+        return member.get();
+    return nullptr;
+  }
+
+  void run_for(milliseconds duration) {
+    const auto end = now + duration;
+    while (!queue_.empty() && queue_.top().at <= end) {
+      auto next = queue_.top();
+      queue_.pop();
+      now = std::max(now, next.at);
+      next.task();
+    }
+    now = end;
+  }
+
+  /// @return whether `condition` became true within `limit`.
+  bool run_until(milliseconds limit, const std::function<bool()>& condition) {
+    for (milliseconds passed{0}; passed < limit; passed += milliseconds(100)) {
+      if (condition())
+        return true;
+      run_for(milliseconds(100));
+    }
+    return condition();
+  }
+
+  void deliver(daemon& member, const event& input) {
+    if (member.stopped)
+      return;
+    if (now < member.paused_until) {
+      const auto incarnation = member.incarnation;
+      after(member.paused_until - now, [this, &member, input, incarnation] {
+        if (member.incarnation == incarnation)
+          deliver(member, input);
+      });
+      return;
+    }
+    for (const auto& wanted : member.machine->step(input, now))
+      std::visit([&](const auto& typed) { perform(member, typed); }, wanted);
+  }
+
+  void after(time_point::duration delay, std::function<void()> task) {
+    queue_.push({now + delay, ++last_event_, std::move(task)});
+  }
+
+  /// The job as the log has it.
+  const coordination::job_entry* job(const std::string& key) {
+    for (const auto& member : members_) {
+      const auto& state = member->machine->state();
+      const auto number = state.find_job(model::job_id("s03-" + key));
+      if (number && now >= member->paused_until)
+        return state.find_job(*number);
+    }
+    return nullptr;
+  }
+
+  std::size_t running(const model::worker_id& name) {
+    fake_worker& worker = workers[name];
+    worker.advance(now);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(worker.runs, [](const auto& entry) {
+          return entry.second.state == platform::task_state::running;
+        }));
+  }
+
+  std::size_t starts() const {
+    std::size_t sum = 0;
+    for (const auto& [id, worker] : workers)
+      sum += worker.starts.size();
+    return sum;
+  }
+
+  time_point now{std::chrono::hours(1)};
+  shard_limits limits;
+  batch_policy policy;
+  std::map<model::worker_id, fake_worker> workers;
+  std::vector<std::string> log;
+  time_point log_down_until;
+  bool fresh = true;
+  /// Share of messages that are lost or late, in percent.
+  int lossy_percent = 0;
+  std::vector<std::string> violations;
+
+ private:
+  struct timed_task {
+    time_point at;
+    std::uint64_t number = 0;
+    std::function<void()> task;
+    bool operator<(const timed_task& other) const {
+      return std::pair(at, number) > std::pair(other.at, other.number);
+    }
+  };
+
+  std::uint64_t draw(std::uint64_t below) { return random_() % below; }
+  bool lost() { return draw(100) < static_cast<unsigned>(lossy_percent); }
+  milliseconds delay() {
+    return milliseconds(lost() ? 1 + draw(12'000) : 1 + draw(4));
+  }
+
+  void poll(daemon& member, model::incarnation incarnation) {
+    if (member.incarnation != incarnation)
+      return;
+    after(milliseconds(100),
+          [this, &member, incarnation] { poll(member, incarnation); });
+    if (now < member.paused_until || member.stopped)
+      return;
+    const bool up = now >= log_down_until;
+    deliver(member, events::view_freshness_changed{fresh, up, false});
+    if (up)
+      deliver(member, events::log_read{read(member)});
+    const auto& holder = member.machine->state().owner();
+    const bool wanted = std::ranges::none_of(members_, [&](const auto& other) {
+      return holder && other->id == holder->owner &&
+             other->incarnation == holder->incarnation && !other->stopped &&
+             now + milliseconds(3'000) >= other->paused_until;
+    });
+    if (wanted)
+      deliver(member, events::claim_shard{});
+  }
+
+  coordination::read_result read(const daemon& member) {
+    coordination::read_result out;
+    out.next = static_cast<model::offset>(log.size());
+    for (auto at = member.machine->next_offset(); at < out.next; ++at)
+      out.records.push_back({at, log[static_cast<std::size_t>(at)]});
+    return out;
+  }
+
+  void perform(daemon& member, const actions::append& wanted) {
+    after(delay(), [this, &member, wanted, arrives = !lost(),
+                    answered = !lost(), incarnation = member.incarnation] {
+      const bool up = now >= log_down_until && arrives;
+      const auto at = static_cast<model::offset>(log.size());
+      if (up)
+        log.insert(log.end(), wanted.batch.records.begin(),
+                   wanted.batch.records.end());
+      after(delay(), [this, &member, wanted, at, ok = up && answered,
+                      incarnation] {
+        if (member.incarnation != incarnation)
+          return;
+        if (ok)
+          deliver(member, events::append_answered{wanted.batch.number, at});
+        else
+          deliver(member, events::append_failed{wanted.batch.number});
+      });
+    });
+  }
+
+  /// Calls a worker; without an answer in 2 s the outcome is unknown.
+  void call(daemon& member, call_id number, const model::worker_id& name,
+            std::function<event(fake_worker&)> work) {
+    const auto incarnation = member.incarnation;
+    const auto open = std::make_shared<bool>(true);
+    const auto answer = [this, &member, open, incarnation](event result) {
+      if (std::exchange(*open, false) && member.incarnation == incarnation)
+        deliver(member, result);
+    };
+    after(milliseconds(2'000), [answer, number] {
+      answer(events::worker_call_done{number, call_outcome::unknown, {}, {}});
+    });
+    if (lost() || now < member.cut[name])
+      return;
+    after(delay(), [this, &member, name, work = std::move(work), answer] {
+      fake_worker& worker = workers[name];
+      for (auto& [id, other] : workers)
+        other.advance(now);
+      const auto result = work(worker);
+      if (!lost() && now >= member.cut[name])
+        after(delay(), [answer, result] { answer(result); });
+    });
+  }
+
+  static event done(call_id number, bool ok, std::string lease = {},
+                    std::string checkpoint = {}) {
+    return events::worker_call_done{
+        number, ok ? call_outcome::ok : call_outcome::refused, std::move(lease),
+        std::move(checkpoint)};
+  }
+
+  void perform(daemon& member, const actions::acquire_lease& wanted) {
+    call(member, wanted.call, wanted.worker, [=, this](fake_worker& worker) {
+      const lease_id lease = "l" + std::to_string(++last_lease_);
+      const milliseconds duration(wanted.duration_ms);
+      worker.leases[lease] = {wanted.holder, duration, now + duration};
+      return done(wanted.call, true, lease);
+    });
+  }
+  void perform(daemon& member, const actions::renew_lease& wanted) {
+    call(member, wanted.call, wanted.worker, [=, this](fake_worker& worker) {
+      const auto found = worker.leases.find(wanted.lease);
+      if (found != worker.leases.end())
+        found->second.expires = now + found->second.duration;
+      return done(wanted.call, found != worker.leases.end());
+    });
+  }
+  void perform(daemon& member, const actions::delete_lease& wanted) {
+    call(member, wanted.call, wanted.worker, [=, this](fake_worker& worker) {
+      if (worker.deletes_leases)
+        worker.leases.erase(wanted.lease);
+      worker.advance(now);
+      return done(wanted.call, worker.deletes_leases);
+    });
+  }
+  void perform(daemon& member, const actions::list_worker& wanted) {
+    call(member, wanted.call, wanted.worker, [=](fake_worker& worker) {
+      return events::worker_listed{wanted.call, worker.report()};
+    });
+  }
+  void perform(daemon& member, const actions::start_task& wanted) {
+    call(member, wanted.call, wanted.worker, [=, this](fake_worker& worker) {
+      const bool ok = worker.start(wanted.start, now);
+      check_start(worker, wanted.start, ok);
+      return done(wanted.call, ok);
+    });
+  }
+  void perform(daemon& member, const actions::adopt_task& wanted) {
+    call(member, wanted.call, wanted.worker, [=](fake_worker& worker) {
+      auto* const task = worker.running(wanted.id);
+      const bool ok = task != nullptr && worker.leases.contains(wanted.lease);
+      if (ok)
+        task->start.lease = wanted.lease;
+      return done(wanted.call, ok);
+    });
+  }
+  void perform(daemon& member, const actions::checkpoint_task& wanted) {
+    call(member, wanted.call, wanted.worker, [=, this](fake_worker& worker) {
+      auto* const task = worker.running(wanted.id);
+      if (task == nullptr)
+        return done(wanted.call, false);
+      worker.checkpoint(*task, now);
+      return done(wanted.call, true, {}, task->start.checkpoint);
+    });
+  }
+  void perform(daemon& member, const actions::throttle_task& wanted) {
+    call(member, wanted.call, wanted.worker, [=](fake_worker& worker) {
+      if (auto* const task = worker.running(wanted.id))
+        task->throttle = wanted.percent;
+      return done(wanted.call, true);
+    });
+  }
+  void perform(daemon& member, const actions::stop_task& wanted) {
+    call(member, wanted.call, wanted.worker, [=, this](fake_worker& worker) {
+      auto* const task = worker.running(wanted.id);
+      if (task != nullptr)
+        worker.stop(*task, now);
+      return done(wanted.call, task != nullptr);
+    });
+  }
+  void perform(daemon& member, const actions::acknowledge_end& wanted) {
+    call(member, wanted.call, wanted.worker, [=](fake_worker& worker) {
+      if (worker.running(wanted.id) == nullptr)
+        worker.runs.erase(wanted.id);
+      return done(wanted.call, true);
+    });
+  }
+  void perform(daemon& member, const actions::reply_submit& reply) {
+    member.submits[reply.token] = reply;
+  }
+  void perform(daemon& member, const actions::reply_cancel& reply) {
+    member.cancels[reply.token] = reply;
+  }
+  void perform(daemon& member, const actions::count& counted) {
+    member.counts[counted.name + "/" + counted.reason] += counted.amount;
+  }
+  void perform(daemon& member, const actions::set_next_tick& wanted) {
+    if (member.next_tick > now && member.next_tick <= wanted.at)
+      return;
+    member.next_tick = wanted.at;
+    after(wanted.at - now, [this, &member, incarnation = member.incarnation] {
+      if (member.incarnation == incarnation)
+        deliver(member, events::tick{});
+    });
+  }
+  void perform(daemon& /*member*/, const actions::reply_query& /*reply*/) {}
+  void perform(daemon& /*member*/, const actions::body_resolved& /*r*/) {}
+  void perform(daemon& /*member*/, const actions::delegate_job& /*job*/) {}
+  void perform(daemon& /*member*/, const actions::cancel_delegated& /*c*/) {}
+
+  void check_start(const fake_worker& worker, const platform::task_start& start,
+                   bool ok) {
+    if (!ok)
+      return;
+    std::size_t copies = 0;
+    for (const auto& [id, other] : workers)
+      for (const auto& [name, task] : other.runs)
+        if (name.task == start.id.task &&
+            task.state == platform::task_state::running)
+          ++copies;
+    if (copies > 1)
+      violations.push_back("two runs of " + start.id.task);
+    if (!fits_in(worker.load(), worker.info.capacity))
+      violations.push_back("over capacity on " + worker.info.id);
+  }
+
+  std::mt19937_64 random_;
+  std::priority_queue<timed_task> queue_;
+  std::uint64_t last_event_ = 0;
+  std::uint64_t last_lease_ = 0;
+  request_token last_token_ = 0;
+  std::vector<std::unique_ptr<daemon>> members_;
+};
+
+}  // namespace vanillaladder::control::testing
--- /dev/null
+++ b/packages/scheduling/src/evacuation.cc
@@ -0,0 +1,35 @@
+#include "scheduling/evacuation.h"
+
+#include <algorithm>
+
+namespace vanillaladder::scheduling {
+
+void checkpoint_pacer::set_rate(std::int64_t milli_per_second) {
+  interval_ = model::milliseconds(1'000'000 / milli_per_second);
+}
+
+bool checkpoint_pacer::take(model::time_point now) {
+  if (now < free_at_)
+    return false;
+  free_at_ = now + interval_;
+  return true;
+}
+
+model::time_point checkpoint_pacer::next(model::time_point now) const {
+  return std::max(now, free_at_);
+}
+
+void return_ramp::returned(const model::worker_id& worker,
+                           model::time_point now) {
+  since_[worker] = now;
+}
+
+std::int64_t return_ramp::usable_percent(const model::worker_id& worker,
+                                         model::time_point now) const {
+  const auto found = since_.find(worker);
+  if (found == since_.end() || now - found->second >= duration)
+    return 100;
+  return std::max<std::int64_t>(5, (now - found->second) * 100 / duration);
+}
+
+}  // namespace vanillaladder::scheduling
--- /dev/null
+++ b/packages/scheduling/test/batch_models_test.cc
@@ -0,0 +1,136 @@
+#include <catch2/catch.hpp>
+
+#include "scheduling/evacuation.h"
+#include "scheduling/interference.h"
+#include "scheduling/probation.h"
+#include "scheduling/quota.h"
+#include "scheduling/usage_model.h"
+
+namespace vanillaladder::scheduling {
+namespace {
+
+using model::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const model::time_point start{std::chrono::hours(10)};
+
+}  // namespace
+
+TEST_CASE("a learned size is never below the declared one and is forgotten",
+          "[usage_model]") {
+  usage_model usage;
+  const model::resources declared{1'000, 100, 0};
+  usage.observe("c", declared, {500, 150, 0}, milliseconds(0), start);
+  CHECK(usage.expected("c", declared, start) ==
+        model::resources{1'000, 150, 0});
+  CHECK(usage.expected("c", {2'000, 200, 0}, start).memory_mib == 300);
+  CHECK(usage.expected("c", declared, start + minutes(10)).memory_mib == 150);
+  CHECK(usage.expected("c", declared, start + minutes(25)) == declared);
+  usage.observe("d", declared, {9'000, 900, 0}, minutes(30), start);
+  CHECK(usage.expected("d", declared, start) == declared);
+}
+
+TEST_CASE("interference of two neighbours is told apart", "[interference]") {
+  interference_model known;
+  CHECK(known.expected("a", {{"b", 3}}) == 100);
+  CHECK(known.pair("a", "b").confidence == 0);
+  for (int i = 0; i < 200; ++i) {
+    known.observe("a", {{"b", 2}}, 120);
+    known.observe("a", {{"b", 2}, {"c", 1}}, 150);
+  }
+  CHECK(known.pair("a", "b").excess_percent == Approx(10).margin(1));
+  CHECK(known.pair("a", "c").excess_percent == Approx(30).margin(2));
+  // A measurement counts for a pair as much as the pair weighs in it: 1 of 5.
+  CHECK(known.pair("a", "c").confidence == Approx(40.0 / 45.0));
+}
+
+TEST_CASE("throttling has hysteresis and comes before an eviction",
+          "[interference]") {
+  throttle_control control;
+  CHECK(control.observe(130, 120) == relief::none);
+  CHECK(control.observe(115, 120) == relief::none);
+  CHECK(control.observe(130, 120) == relief::none);
+  CHECK(control.observe(130, 120) == relief::throttle);
+  CHECK(control.percent() == 50);
+  for (int i = 0; i < 20; ++i)  // Below the limit, but not well below it.
+    CHECK(control.observe(115, 120) == relief::none);
+  control.observe(130, 120);
+  CHECK(control.observe(130, 120) == relief::throttle);
+  control.observe(130, 120);
+  CHECK(control.observe(130, 120) == relief::evict);
+  control.observe(105, 120);
+  control.observe(105, 120);
+  CHECK(control.observe(105, 120) == relief::unthrottle);
+}
+
+TEST_CASE("shares are weighted and quotas hold", "[quota]") {
+  team_quotas quotas;
+  quotas.set_capacity({10'000, 10'000, 0});
+  quotas.set_limits({{"a", {10, {3'000, -1, -1}}}, {"b", {20, {}}}});
+  quotas.charge("a", {2'000, 100, 0});
+  quotas.charge("b", {3'000, 100, 0});
+  CHECK(quotas.weighted_share("a") > quotas.weighted_share("b"));
+  CHECK(quotas.allows("a", {1'000, 100, 0}, {-1, -1, -1}));
+  CHECK_FALSE(quotas.allows("a", {1'001, 100, 0}, {-1, -1, -1}));
+  quotas.release("a", {2'000, 100, 0});
+  // One task within the whole quota is allowed although the part is smaller.
+  CHECK(quotas.allows("a", {3'500, 100, 0}, {12'000, -1, -1}));
+  CHECK_FALSE(quotas.allows("a", {3'500, 100, 0}, {3'400, -1, -1}));
+  CHECK(quota_part({10, -1, 0}, 4) == model::resources{3, -1, 0});
+}
+
+TEST_CASE("a failing worker gets five starts a minute", "[probation]") {
+  start_probation probation;
+  auto now = start;
+  int starts = 0;
+  for (std::uint32_t i = 0; now < start + seconds(60); ++i) {
+    if (probation.allows("w", now)) {
+      ++starts;
+      probation.started("w", {"t", i}, now);
+      probation.failed("w", {"t", i}, "job" + std::to_string(i), now);
+    }
+    now += milliseconds(100);
+  }
+  CHECK(starts == 5);
+  CHECK(probation.allows("w", now));
+}
+
+TEST_CASE("a working worker is not limited by old starts", "[probation]") {
+  start_probation probation;
+  for (std::uint32_t i = 0; i < 5; ++i)
+    probation.started("w", {"t", i}, start);
+  CHECK_FALSE(probation.allows("w", start));
+  probation.seen_running("w", {"t", 0}, start + milliseconds(1'900));
+  CHECK_FALSE(probation.allows("w", start + seconds(2)));
+  probation.seen_running("w", {"t", 0}, start + seconds(2));
+  CHECK(probation.allows("w", start + seconds(2)));
+}
+
+TEST_CASE("a job that fails everywhere is not held against the workers",
+          "[probation]") {
+  start_probation probation;
+  for (const auto* const worker : {"a", "b", "c"}) {
+    for (std::uint32_t i = 0; i < 5; ++i)
+      probation.failed(worker, {"t", i}, "bad", start);
+  }
+  CHECK(probation.allows("a", start));
+  CHECK_FALSE(probation.on_probation("a", start));
+}
+
+TEST_CASE("checkpoints are paced and a return is gradual", "[evacuation]") {
+  checkpoint_pacer pacer;
+  pacer.set_rate(5'000);
+  int taken = 0;
+  for (auto now = start; now < start + seconds(10); now += milliseconds(10))
+    taken += pacer.take(now) ? 1 : 0;
+  CHECK(taken == 50);
+  return_ramp ramp;
+  CHECK(ramp.usable_percent("w", start) == 100);
+  ramp.returned("w", start);
+  CHECK(ramp.usable_percent("w", start) == 5);
+  CHECK(ramp.usable_percent("w", start + seconds(10)) == 50);
+  CHECK(ramp.usable_percent("w", start + seconds(20)) == 100);
+}
+
+}  // namespace vanillaladder::scheduling
--- /dev/null
+++ b/packages/scheduling/test/placement_test.cc
@@ -0,0 +1,92 @@
+#include "scheduling/placement.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace vanillaladder::scheduling {
+namespace {
+
+placement_worker worker(const std::string& id, const std::string& domain) {
+  placement_worker made;
+  made.id = id;
+  made.domain = domain;
+  made.rack = "r";
+  made.capacity = {10'000, 10'000, 0};
+  made.open = true;
+  return made;
+}
+
+placement_task task(const model::resources& size) {
+  placement_task made;
+  made.job_class = "sync";
+  made.declared = made.size = size;
+  return made;
+}
+
+const placement_limits limits{10, 120};
+
+}  // namespace
+
+TEST_CASE("services, reservations and the urgent reserve limit a start",
+          "[placement]") {
+  std::vector<placement_worker> workers{worker("w", "d")};
+  const interference_model none;
+  workers[0].reserved = {4'000, 0, 0};
+  workers[0].services = {3'000, 0, 0};
+  auto wanted = task({2'000, 100, 0});
+  CHECK(choose_worker(wanted, workers, none, limits) == 0u);
+  wanted.size.cpu_millis = 2'001;  // 1,000 of the 3,000 left are the reserve.
+  CHECK_FALSE(choose_worker(wanted, workers, none, limits));
+  wanted.urgent = true;
+  CHECK(choose_worker(wanted, workers, none, limits) == 0u);
+  workers[0].open = false;
+  CHECK_FALSE(choose_worker(wanted, workers, none, limits));
+}
+
+TEST_CASE("a task larger than the unreserved part gets an empty worker",
+          "[placement]") {
+  std::vector<placement_worker> workers{worker("w", "d")};
+  const interference_model none;
+  auto large = task({9'500, 100, 0});
+  CHECK(choose_worker(large, workers, none, limits) == 0u);
+  large.size = {20'000, 100, 0};  // Learned size above every worker.
+  CHECK(choose_worker(large, workers, none, limits) == 0u);
+  CHECK(placed_size(large, workers[0]).cpu_millis == 10'000);
+  workers[0].reserved = {1, 1, 0};
+  CHECK_FALSE(choose_worker(large, workers, none, limits));
+}
+
+TEST_CASE("tasks of a job are spread over domains", "[placement]") {
+  std::vector<placement_worker> workers{worker("w0", "d0"), worker("w1", "d1")};
+  auto wanted = task({1'000, 100, 0});
+  wanted.spread = {{"d0", 1}, {"d0/r", 1}};
+  CHECK(choose_worker(wanted, workers, {}, limits) == 1u);
+  CHECK(choose_first_fit(wanted, workers, limits) == 0u);
+  wanted.avoid = {"w1"};
+  CHECK(choose_worker(wanted, workers, {}, limits) == 0u);
+}
+
+TEST_CASE("a class that slows services is kept away from them", "[placement]") {
+  std::vector<placement_worker> workers{worker("w0", "d"), worker("w1", "d")};
+  workers[0].neighbours = {{services_class, 1}};
+  interference_model known;
+  for (int i = 0; i < 50; ++i)
+    known.observe(services_class, {{"sync", 1}}, 160);
+  const auto wanted = task({1'000, 100, 0});
+  CHECK(choose_worker(wanted, workers, known, limits) == 1u);
+  workers[1].open = false;
+  CHECK_FALSE(choose_worker(wanted, workers, known, limits));
+}
+
+TEST_CASE("a size that fits no worker is named with the reason",
+          "[placement]") {
+  const std::vector<model::worker_info> workers{
+      {"a", "", 0, "d", "r", {1'000, 9'000, 0}, {}},
+      {"b", "", 0, "d", "r", {9'000, 1'000, 0}, {}}};
+  CHECK_FALSE(never_fits({9'000, 1'000, 0}, workers));
+  CHECK(never_fits({1, 1, 1}, workers)->find("accelerators") == 0);
+  CHECK(never_fits({5'000, 5'000, 0}, workers) ==
+        "no worker has this much of every resource");
+}
+
+}  // namespace vanillaladder::scheduling
