--- a/packages/runtime/src/metrics.cc
+++ b/packages/runtime/src/metrics.cc
@@ -106,17 +106,17 @@
 }
 
 std::span<const std::string_view> refusal_reasons() {
-  static constexpr std::array<std::string_view, 11> reasons{
+  static constexpr std::array<std::string_view, 12> reasons{
       "queue-full",     "team-share",      "retry-budget",
       "deadline",       "no-backend",      "stale-view",
       "draining",       "log-unavailable", "key-owner-unavailable",
-      "connect-failed", "unknown-service"};
+      "connect-failed", "unknown-service", "bad-request"};
   return reasons;
 }
 
 std::span<const std::string_view> retry_reasons() {
-  static constexpr std::array<std::string_view, 3> reasons{
-      "connect-failed", "refused", "connection-closed"};
+  static constexpr std::array<std::string_view, 3> reasons{"not-sent",
+                                                           "refused", "closed"};
   return reasons;
 }
 
--- a/packages/runtime/test/settings_test.cc
+++ b/packages/runtime/test/settings_test.cc
@@ -75,7 +75,7 @@
         "f:9: instances.port: value is not allowed; allowed: an integer from 1 "
         "to 65535\n"
         "f:10: limit: unknown section, did you mean limits?; allowed: "
-        "instance, listen, log, instances, limits, logging");
+        "instance, listen, log, instances, limits, logging, trace");
 }
 
 // Guards against a syntax error that is reported without its line.
