Share the conversion of log answers and keep list answers alive

Cause: the conversion of a log answer stood in two files, and the list of jobs was filled by reference from callbacks that may run after the call if the driver is busy.

Ruled out: that such a late callback happens today; every list call comes from the event loop, not from inside an event.

Change: one header for the conversion, shared ownership for the list.

Conclusion: a clean-up.

--- a/packages/control/src/control_stream.cc
+++ b/packages/control/src/control_stream.cc
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <utility>
 
+#include "control/detail/log_read.h"
+
 namespace vanillaladder::control {
 namespace {
 
@@ -22,17 +24,6 @@
 /// Records kept for peers that cannot reach the log.
 constexpr std::size_t max_recent = 2048;
 
-coordination::read_result to_read_result(platform::read_result result) {
-  coordination::read_result made;
-  made.first = result.first;
-  made.next = result.next;
-  made.records.reserve(result.entries.size());
-  for (auto& entry : result.entries) {
-    made.records.push_back({entry.offset, std::move(entry.data)});
-  }
-  return made;
-}
-
 }  // namespace
 
 control_stream::control_stream(http::event_loop& loop,
@@ -84,7 +75,7 @@
   }
   last_read_ = clock::now();
   bool had_state = reader_.has_state();
-  auto read = to_read_result(*std::move(result));
+  auto read = detail::to_read_result(*std::move(result));
   auto records = reader_.on_read(read);
   for (const auto& stored : read.records) {
     remember(stored.at, stored.bytes);
--- a/packages/control/src/shard_calls.cc
+++ b/packages/control/src/shard_calls.cc
@@ -182,18 +182,20 @@
 }
 
 std::string shard_set::list_here(shard_driver& driver) const {
-  auto jobs = nlohmann::json::array();
+  // Queries are answered at once, or after this call if the driver is busy with
+  // an earlier event; shared, so that a late answer finds the list.
+  auto jobs = std::make_shared<nlohmann::json>(nlohmann::json::array());
   for (const auto& [number, entry] : driver.machine().state().jobs()) {
     if (entry.job.home) {
       continue;  // Listed by its home shard.
     }
-    driver.query(entry.job.id, [&jobs](bool found, const job_status& status) {
+    driver.query(entry.job.id, [jobs](bool found, const job_status& status) {
       if (found) {
-        jobs.push_back(nlohmann::json::parse(format_status(status)));
+        jobs->push_back(nlohmann::json::parse(format_status(status)));
       }
     });
   }
-  return jobs.dump();
+  return jobs->dump();
 }
 
 void shard_set::on_job_call(peer_handler::job_call call, model::shard_id shard,
--- a/packages/control/src/shard_driver.cc
+++ b/packages/control/src/shard_driver.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <type_traits>
 
+#include "control/detail/log_read.h"
 #include "platform/error.h"
 
 namespace vanillaladder::control {
@@ -48,16 +49,6 @@
   return std::move(node.mapped());
 }
 
-coordination::read_result to_read_result(platform::read_result result) {
-  coordination::read_result made;
-  made.first = result.first;
-  made.next = result.next;
-  for (auto& entry : result.entries) {
-    made.records.push_back({entry.offset, std::move(entry.data)});
-  }
-  return made;
-}
-
 }  // namespace
 
 /// Performs one action of the machine.
@@ -283,7 +274,7 @@
 void shard_driver::on_read(absl::StatusOr<platform::read_result> result) {
   bool ok = result.ok();
   if (ok) {
-    auto read = to_read_result(*std::move(result));
+    auto read = detail::to_read_result(*std::move(result));
     auto next = read.next;
     feed(events::log_read{std::move(read)});
     at_end_ = machine_.next_offset() >= next;
