--- a/packages/control/test/peer_link_test.cc
+++ b/packages/control/test/peer_link_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 
 #include "control/peer_server.h"
 #include "peer.h"
