Read shard streams with a wait of 2 s

Cause: the shard machine takes the log for unreachable after 3 s without a response and then starts and adopts nothing. With a wait of 5 s an idle shard was in that state most of the time, and its first start had to wait for the next read.

Ruled out: raising the 3 s, which bound how long a paused process may act on an old view.

Change: a wait of 2 s.

--- a/packages/control/src/shard_driver.cc
+++ b/packages/control/src/shard_driver.cc
@@ -17,9 +17,10 @@
 using clock = std::chrono::steady_clock;
 
 constexpr std::size_t read_limit = 512;
-/// The log answers at once when there is a record; a long wait only saves
-/// empty answers.
-constexpr milliseconds read_wait{5000};
+/// The log answers at once when there is a record; a longer wait saves empty
+/// answers, but must stay below the 3 s after which the machine takes the log
+/// for unreachable.
+constexpr milliseconds read_wait{2000};
 constexpr milliseconds retry_delay{250};
 constexpr std::chrono::hours key_lifetime{24};
 constexpr std::chrono::minutes key_mark_interval{10};
