Initialise the result of peer calls that return nothing

Cause: under the undefined-behaviour sanitizer a daemon ended with "load of value 4, which is not a valid value for type 'bool'" after most patches: calls without a result (push_records, finish_key) passed an uninitialised bool on.

Ruled out: the variant itself; the trace starts in peer_mesh::call.

Change: the result is value-initialised.

Conclusion: fixed.

--- a/packages/control/src/peer_mesh.cc
+++ b/packages/control/src/peer_mesh.cc
@@ -65,7 +65,8 @@
   link->enqueue(
       kind, timeout,
       [run = std::move(run), done](wire::peerClient& client) {
-        Result result;
+        // Calls without a result leave it as it is.
+        Result result{};
         run(client, result);
         done(std::move(result));
       },
