--- a/tests/harness/src/cluster.cc
+++ b/tests/harness/src/cluster.cc
@@ -225,7 +225,11 @@
 outcome cluster::patch(std::size_t index, const std::string& id,
                        const json& set) {
   auto port = at(index).operator_port;
-  auto config = http_.get(port, "/v1/config").parsed();
+  auto shown = http_.get(port, "/v1/config");
+  auto config = shown.parsed();
+  if (!config.is_object()) {
+    return shown;
+  }
   return http_.post(port, "/v1/config/patches",
                     {{"id", id},
                      {"author", "test"},
