Delegate untouched jobs again when other shards have room

Cause: a job was weighed for delegation only when its submission was read back.

Change: each time the rooms arrive, jobs of which no task has ever started are weighed again.

Conclusion: fixed for untouched jobs.

--- a/packages/control/include/control/detail/shard_core.h
+++ b/packages/control/include/control/detail/shard_core.h
@@ -75,6 +75,7 @@
   std::optional<model::shard_id> better_shard(const model::resources& size,
                                               std::uint32_t tasks) const;
   void delegate_if_better(coordination::job_number number);
+  void delegate_blocked_jobs();
   void resend_delegations();
   void track_job(coordination::job_number number);
   void refresh_task(const task_key& key);
--- a/packages/control/src/shard_machine.cc
+++ b/packages/control/src/shard_machine.cc
@@ -145,6 +145,8 @@
 
 void shard_machine::impl::on(const events::shards_changed& input) {
   shards = input.shards;
+  if (owner)
+    delegate_blocked_jobs();
 }
 
 void shard_machine::impl::on(const events::worker_call_done& input) {
--- a/packages/control/src/shard_machine_jobs.cc
+++ b/packages/control/src/shard_machine_jobs.cc
@@ -154,6 +154,25 @@
   track_job(number);
 }
 
+/// A job is first weighed when its submission is read back; domains go out and
+/// the room of other shards becomes known later.
+void shard_machine::impl::delegate_blocked_jobs() {
+  std::vector<records::job_number> untouched;
+  for (const auto& [number, track] : jobs) {
+    const auto first = attempts.lower_bound({number, 0});
+    const bool started =
+        first != attempts.end() && first->first.first == number;
+    const auto* const job = fold().find_job(number);
+    if (!started && job != nullptr && track.pending.size() == job->job.tasks)
+      untouched.push_back(number);
+  }
+  for (const auto number : untouched) {
+    // Not tracked while the delegation is in flight, so that it starts nothing.
+    jobs.erase(number);
+    delegate_if_better(number);
+  }
+}
+
 void shard_machine::impl::resend_delegations() {
   for (auto& [number, due] : delegations) {
     const auto* const job = fold().find_job(number);
--- a/packages/control/test/shard_machine_test.cc
+++ b/packages/control/test/shard_machine_test.cc
@@ -350,4 +350,24 @@
   CHECK(sim.run_until(seconds(60), [&] { return ended(sim, "a"); }));
 }
 
+// Guards against a job that waits for good in a shard whose workers are all out
+// of service, because the free room of other shards became known only later.
+TEST_CASE("an untouched job moves once another shard has room",
+          "[shard_machine]") {
+  settled sim;
+  batch_policy all_out;
+  all_out.domains_out = {"d0", "d1", "d2"};
+  sim.set_policy(all_out);
+  sim.submit("a", 2, 1'000, small);
+  sim.run_for(seconds(3));
+  REQUIRE(sim.job("a") != nullptr);
+  REQUIRE_FALSE(sim.job("a")->delegated_to);
+  events::shards_changed rooms;
+  rooms.shards[1] = {{32'000, 32'000, 0}, {32'000, 32'000, 0}};
+  sim.deliver(*sim.owner(), rooms);
+  sim.run_for(seconds(2));
+  CHECK(sim.job("a")->delegated_to == model::shard_id{1});
+  CHECK(sim.starts() == 0);
+}
+
 }  // namespace vanillaladder::control
