Build trace_json.h without a false uninitialized warning

Cause: GCC 12 reports maybe-uninitialized for the temporary shard_record in to_json, which stops a release build of vl_control (-Werror). Ruled out: a real read of uninitialized data; all members are initialized. Change: fill a named record. Conclusion: no change of behaviour.

--- a/packages/control/src/trace_json.h
+++ b/packages/control/src/trace_json.h
@@ -93,7 +93,9 @@
 
 /// A body travels inside a record, whose encoding is the log's.
 inline void to_json(nlohmann::json& to, const shard_body& from) {
-  to = to_base64(encode(shard_record{{}, 0, from}));
+  shard_record record;
+  record.body = from;
+  to = to_base64(encode(record));
 }
 
 inline void from_json(const nlohmann::json& from, shard_body& to) {
