Do not delegate by room from before a domain went out

The trace of the shard machine shows a job delegated, right after the domain went out, to a shard whose workers were all in that domain, by a room that its owner had reported before.

Ruled out: a missing retry of the delegation; it was confirmed by the other owner, which then had no worker to use.

Change: for 2 s after a change of domains or instances the rooms of other shards are not used; blocked jobs are weighed again afterwards.

Conclusion: fixed for this order of events. A job that was delegated stays in that shard if the shard loses its workers later.

--- a/packages/control/include/control/detail/shard_core.h
+++ b/packages/control/include/control/detail/shard_core.h
@@ -181,6 +181,7 @@
       superseded_since;
   std::map<model::instance_id, model::incarnation> members;
   std::map<model::shard_id, events::shards_changed::room> shards;
+  model::time_point rooms_settle_at;
 
   // Log.
   coordination::shard_reader reader;
--- a/packages/control/include/control/detail/shard_types.h
+++ b/packages/control/include/control/detail/shard_types.h
@@ -26,6 +26,9 @@
 /// While an attempt starts or ends.
 inline constexpr milliseconds busy_list_interval{500};
 inline constexpr milliseconds retry_interval{1'000};
+/// After a change of domains or instances the free room of other shards, which
+/// comes with their heartbeats, is not used for this time.
+inline constexpr milliseconds room_settle_time{2'000};
 inline constexpr milliseconds pass_interval{50};
 /// What blocks a job can end by time alone, such as probation or the ramp of a
 /// returning domain.
--- a/packages/control/src/shard_machine_jobs.cc
+++ b/packages/control/src/shard_machine_jobs.cc
@@ -108,6 +108,9 @@
 
 std::optional<model::shard_id> shard_machine::impl::better_shard(
     const model::resources& size, std::uint32_t tasks) const {
+  // The rooms may still be those from before the change.
+  if (now < rooms_settle_at)
+    return std::nullopt;
   bool holds = false;
   model::resources free;
   for (const auto& [id, worker] : workers) {
--- a/packages/control/src/shard_machine_place.cc
+++ b/packages/control/src/shard_machine_place.cc
@@ -35,6 +35,9 @@
 
 void shard_machine::impl::on(const events::policy_changed& input) {
   const batch_policy before = std::exchange(policy, input.policy);
+  if (before.domains_out != policy.domains_out ||
+      before.draining != policy.draining || before.dead != policy.dead)
+    rooms_settle_at = now + room_settle_time;
   std::map<model::team_id, scheduling::team_limits> teams;
   for (const auto& [team, limit] : policy.teams)
     teams[team] = {
--- a/packages/control/test/shard_machine_test.cc
+++ b/packages/control/test/shard_machine_test.cc
@@ -370,4 +370,29 @@
   CHECK(sim.starts() == 0);
 }
 
+// Guards against a job that is delegated to a shard whose workers have just
+// gone out of service, by room that was reported before.
+TEST_CASE("room from before a domain went out is not used", "[shard_machine]") {
+  settled sim;
+  const events::shards_changed::room room{{32'000, 32'000, 0},
+                                          {32'000, 32'000, 0}};
+  events::shards_changed rooms;
+  rooms.shards[1] = room;
+  sim.deliver(*sim.owner(), rooms);
+  batch_policy all_out;
+  all_out.domains_out = {"d0", "d1", "d2"};
+  sim.set_policy(all_out);
+  sim.submit("a", 2, 1'000, small);
+  sim.run_for(seconds(1));
+  sim.deliver(*sim.owner(), rooms);
+  sim.run_for(seconds(2));
+  REQUIRE(sim.job("a") != nullptr);
+  CHECK_FALSE(sim.job("a")->delegated_to);
+  rooms.shards[1] = {};
+  rooms.shards[2] = room;
+  sim.deliver(*sim.owner(), rooms);
+  sim.run_for(seconds(1));
+  CHECK(sim.job("a")->delegated_to == model::shard_id{2});
+}
+
 }  // namespace vanillaladder::control
