Wait for the last responses before a stop and prefix shard counters

Cause: the front reports that it is idle when it has handed over the last response, but the HTTP server may not have written it yet, so a planned stop could cut it. Counters of the shard machines had no product prefix.

Ruled out: leaving it to the release of shards, which usually takes longer; a daemon without shards stops at once.

Change: the drain also waits until the callers' server has no open request; shard counters are called vanillaladder_*_total; mains catch exceptions; lint findings in these files.

--- a/apps/vanillaladderd/src/front_host.cc
+++ b/apps/vanillaladderd/src/front_host.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr unsigned max_descriptors = 16384;
+constexpr model::milliseconds write_poll_interval{20};
 
 serving::front_limits make_limits(const runtime::limit_settings& settings) {
   serving::front_limits limits;
@@ -159,10 +160,21 @@
 void front_host::drain(std::function<void()> idle) {
   loop_.post([this, idle = std::move(idle)] {
     callers_->close_idle_connections();
-    front_.begin_drain(idle);
+    front_.begin_drain([this, idle] { wait_for_last_responses(idle); });
   });
 }
 
+void front_host::wait_for_last_responses(const std::function<void()>& idle) {
+  // The front is idle once it has handed over the last response; the server
+  // still has to write it.
+  if (callers_->open_requests() == 0) {
+    idle();
+    return;
+  }
+  loop_.call_after(write_poll_interval,
+                   [this, idle] { wait_for_last_responses(idle); });
+}
+
 void front_host::claim(std::uint64_t key_hash, std::uint64_t request_digest,
                        model::milliseconds remaining,
                        serving::key_claims::callback done) {
@@ -170,9 +182,9 @@
   claim.key_hash = static_cast<std::int64_t>(key_hash);
   claim.digest = static_cast<std::int64_t>(request_digest);
   bool posted = channel_.post(
-      [this, claim, remaining, done](control::control_plane& plane) mutable {
+      [this, claim, remaining, done](control::control_plane& plane) {
         plane.claim_key(
-            std::move(claim), remaining,
+            claim, remaining,
             [this, done](const control::wire::key_result& result) {
               loop_.post([done, result] { done(to_claim_result(result)); });
             });
--- a/apps/vanillaladderd/src/front_host.h
+++ b/apps/vanillaladderd/src/front_host.h
@@ -71,6 +71,8 @@
   /// @return whether the request was one for the jobs API.
   bool handle_jobs(const http::request& message, const responder_ptr& answer);
   bool handle_config(const http::request& message, const responder_ptr& answer);
+  /// Calls `idle` once every response has been written or its caller is gone.
+  void wait_for_last_responses(const std::function<void()>& idle);
   /// Runs `call` on the control plane's thread and sends its answer.
   void ask_plane(const responder_ptr& answer, plane_call call);
 
--- a/apps/vanillaladderd/src/main.cc
+++ b/apps/vanillaladderd/src/main.cc
@@ -5,7 +5,9 @@
 #include <cstdio>
 #include <iostream>
 #include <memory>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "control/control_plane.h"
 #include "front_host.h"
--- a/bench/daemon/daemon_bench.cc
+++ b/bench/daemon/daemon_bench.cc
@@ -252,9 +252,14 @@
 
 int main(int argc, char** argv) {
   if (argc != 2) {
-    std::cerr << "usage: daemon_bench CSV\n";
+    std::fprintf(stderr, "usage: daemon_bench CSV\n");
     return 2;
   }
-  vanillaladder::bench::run(argv[1]);
+  try {
+    vanillaladder::bench::run(argv[1]);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "daemon_bench: %s\n", error.what());
+    return 1;
+  }
   return 0;
 }
--- a/packages/control/include/control/peer_mesh.h
+++ b/packages/control/include/control/peer_mesh.h
@@ -53,12 +53,13 @@
   void push_records(const std::vector<wire::log_record>& records,
                     model::milliseconds timeout);
   void forward_request(const model::instance_id& member,
-                       wire::http_request request, model::milliseconds timeout,
-                       http_callback done);
-  void claim_key(const model::instance_id& member, wire::key_claim claim,
+                       const wire::http_request& request,
+                       model::milliseconds timeout, http_callback done);
+  void claim_key(const model::instance_id& member, const wire::key_claim& claim,
                  model::milliseconds timeout, callback<wire::key_result> done);
-  void finish_key(const model::instance_id& member, wire::key_claim claim,
-                  std::string outcome, model::milliseconds timeout);
+  void finish_key(const model::instance_id& member,
+                  const wire::key_claim& claim, std::string outcome,
+                  model::milliseconds timeout);
   void submit_job(const model::instance_id& member, model::shard_id shard,
                   std::string key, std::string body,
                   model::milliseconds timeout, http_callback done);
--- a/packages/control/src/peer_mesh.cc
+++ b/packages/control/src/peer_mesh.cc
@@ -117,38 +117,34 @@
 }
 
 void peer_mesh::forward_request(const model::instance_id& member,
-                                wire::http_request request,
+                                const wire::http_request& request,
                                 milliseconds timeout, http_callback done) {
   call<wire::http_result>(
       member, lane::forward, timeout,
-      [request = std::move(request), context = context(timeout)](auto& client,
-                                                                 auto& result) {
+      [request, context = context(timeout)](auto& client, auto& result) {
         client.forward_request(result, context, request);
       },
       std::move(done));
 }
 
 void peer_mesh::claim_key(const model::instance_id& member,
-                          wire::key_claim claim, milliseconds timeout,
+                          const wire::key_claim& claim, milliseconds timeout,
                           callback<wire::key_result> done) {
   call<wire::key_result>(
       member, lane::coordination, timeout,
-      [claim = std::move(claim), context = context(timeout)](auto& client,
-                                                             auto& result) {
+      [claim, context = context(timeout)](auto& client, auto& result) {
         client.claim_key(result, context, claim);
       },
       std::move(done));
 }
 
 void peer_mesh::finish_key(const model::instance_id& member,
-                           wire::key_claim claim, std::string outcome,
+                           const wire::key_claim& claim, std::string outcome,
                            milliseconds timeout) {
   call<bool>(
       member, lane::coordination, timeout,
-      [claim = std::move(claim), outcome = std::move(outcome),
-       context = context(timeout)](auto& client, bool&) {
-        client.finish_key(context, claim, outcome);
-      },
+      [claim, outcome = std::move(outcome), context = context(timeout)](
+          auto& client, bool&) { client.finish_key(context, claim, outcome); },
       [](const auto&) {});
 }
 
--- a/packages/control/src/shard_driver.cc
+++ b/packages/control/src/shard_driver.cc
@@ -217,7 +217,9 @@
   }
 
   void operator()(const actions::count& request) {
-    driver_.environment_.metrics.counter(request.name, "reason", request.reason)
+    driver_.environment_.metrics
+        .counter("vanillaladder_" + request.name + "_total", "reason",
+                 request.reason)
         .increment(request.amount);
   }
 
--- a/tests/replay/replay.cc
+++ b/tests/replay/replay.cc
@@ -1,9 +1,10 @@
+#include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
-#include <string_view>
+#include <vector>
 
 #include "control/trace.h"
 #include "runtime/error.h"
@@ -95,21 +96,28 @@
   return 0;
 }
 
-}  // namespace
-}  // namespace vanillaladder::replay
-
-int main(int argc, char** argv) {
-  namespace replay = vanillaladder::replay;
-  std::string_view mode = argc == 3 ? argv[1] : "";
-  if (argc == 2) {
-    return replay::check(argv[1]);
+int run(const std::vector<std::string>& words) {
+  if (words.size() == 1) {
+    return check(words[0]);
   }
-  if (mode == "--altered") {
-    return replay::check_altered(argv[2]);
+  if (words.size() == 2 && words[0] == "--altered") {
+    return check_altered(words[1]);
   }
-  if (mode == "--describe") {
-    return replay::describe(argv[2]);
+  if (words.size() == 2 && words[0] == "--describe") {
+    return describe(words[1]);
   }
   std::cerr << "usage: replay [--altered | --describe] TRACE\n";
   return 2;
 }
+
+}  // namespace
+}  // namespace vanillaladder::replay
+
+int main(int argc, char** argv) {
+  try {
+    return vanillaladder::replay::run({argv + 1, argv + argc});
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "replay: %s\n", error.what());
+    return 1;
+  }
+}
