--- a/packages/control/include/control/trace.h
+++ b/packages/control/include/control/trace.h
@@ -42,10 +42,13 @@
 /// What a replay found.
 struct replay_result {
   std::uint64_t steps = 0;
+  /// Starts that this machine sent.
   std::uint64_t starts = 0;
+  /// Tasks of the shard that had finished or failed for good at the end.
   std::uint64_t finished = 0;
-  std::uint64_t evicted = 0;
-  std::uint64_t lost = 0;
+  std::uint64_t failed = 0;
+  /// Records in which a task was evicted, valid or not.
+  std::uint64_t evicted_records = 0;
 };
 
 /// Runs the present decision code on a recorded trace.
--- a/packages/control/src/trace.cc
+++ b/packages/control/src/trace.cc
@@ -75,7 +75,7 @@
   std::map<std::string, std::uint32_t> started_;
 };
 
-void count_ends(const event& input, replay_result& result) {
+void count_evictions(const event& input, replay_result& result) {
   const auto* read = std::get_if<events::log_read>(&input);
   if (read == nullptr) {
     return;
@@ -89,9 +89,8 @@
       continue;
     }
     for (const auto& end : ended->ends) {
-      result.finished += end.outcome == coordination::task_outcome::finished;
-      result.evicted += end.outcome == coordination::task_outcome::evicted;
-      result.lost += end.outcome == coordination::task_outcome::lost;
+      result.evicted_records +=
+          end.outcome == coordination::task_outcome::evicted;
     }
   }
 }
@@ -155,7 +154,7 @@
       auto input = event_from(tagged.at(0).get<std::size_t>(), tagged.at(1));
       auto taken = machine.step(input, step.at("now").get<model::time_point>());
       ++result.steps;
-      count_ends(input, result);
+      count_evictions(input, result);
       if (auto wrong = checker.check(taken, result)) {
         return problem(line, *wrong);
       }
@@ -165,6 +164,10 @@
                                  ", decided " + actual.dump());
       }
     }
+    for (const auto& [number, job] : machine.state().jobs()) {
+      result.finished += job.finished;
+      result.failed += job.failed;
+    }
   } catch (const std::exception& error) {
     return problem(line, error.what());
   }
