Count failed starts on probation from the failure

Cause: batch_bench saw up to 9 starts within a minute on a worker that fails everything. Probation counted the minute from the decision to start; the worker gets the start later, so that two groups of five could arrive within a minute. Ruled out: forgiving a job that fails on three workers; only one fails here. Change: a failed start counts from the report of its failure.

--- a/packages/scheduling/src/probation.cc
+++ b/packages/scheduling/src/probation.cc
@@ -63,9 +63,9 @@
 void start_probation::failed(const model::worker_id& worker, const attempt& id,
                              const model::job_id& job, model::time_point now) {
   start& entry = workers_[worker][id];
-  // A start that is no longer remembered failed late, but counts from now on.
-  if (entry.at == model::time_point{})
-    entry.at = now;
+  // Counted from the failure, since the worker may have got the start later
+  // than it was decided: the log and the call take their time.
+  entry.at = now;
   entry.failed = true;
   entry.job = job;
   failed_jobs_[job].insert(worker);
--- a/packages/scheduling/test/batch_models_test.cc
+++ b/packages/scheduling/test/batch_models_test.cc
@@ -96,6 +96,18 @@
   CHECK(probation.allows("w", now));
 }
 
+// Guards against counting the minute from the decision, when the worker got
+// the start only after the log and the call had taken their time.
+TEST_CASE("failed starts count for a minute from the failure", "[probation]") {
+  start_probation probation;
+  for (std::uint32_t i = 0; i < 5; ++i) {
+    probation.started("w", {"t", i}, start);
+    probation.failed("w", {"t", i}, "job", start + seconds(3));
+  }
+  CHECK_FALSE(probation.allows("w", start + seconds(62)));
+  CHECK(probation.allows("w", start + seconds(63)));
+}
+
 TEST_CASE("a working worker is not limited by old starts", "[probation]") {
   start_probation probation;
   for (std::uint32_t i = 0; i < 5; ++i)
