Start a round of heartbeats before the view becomes stale

Cause: process_test "requests are served while the log is down" failed once with five refusals as stale-view, with a silent log. A silent log counts as reachable for 1.5 s after its last answer, and until then a daemon skipped the heartbeats to members that it had just heard, so that no round of its own was complete when the last proof reached 2 s.

Ruled out: a longer freshness limit, which bounds how long a cut-off daemon works on an old view.

Change: a daemon whose last proof is older than 1 s asks every member.

--- a/packages/control/src/control_peers.cc
+++ b/packages/control/src/control_peers.cc
@@ -15,6 +15,9 @@
 constexpr milliseconds heartbeat_interval{500};
 constexpr milliseconds heartbeat_timeout{1000};
 constexpr milliseconds recently_heard{400};
+/// Reads of the log give a proof at least this often. Once one is overdue, the
+/// round of heartbeats must complete before the view becomes stale at 2 s.
+constexpr milliseconds own_round_after{1000};
 constexpr milliseconds missing_request_interval{200};
 constexpr milliseconds fetch_timeout{1000};
 constexpr std::int32_t fetch_limit = 512;
@@ -103,7 +106,9 @@
   auto peer = peers_.find(member);
   bool heard_just_now =
       peer != peers_.end() && now - peer->second.heard < recently_heard;
-  return !heard_just_now || !stream_->log_reachable(now) ||
+  auto proof = freshness_.last_proof();
+  bool proof_is_recent = proof && now - *proof < own_round_after;
+  return !heard_just_now || !proof_is_recent || !stream_->log_reachable(now) ||
          !confirmations_.empty();
 }
 
