--- a/apps/vanillaladderd/src/front_host.cc
+++ b/apps/vanillaladderd/src/front_host.cc
@@ -207,13 +207,13 @@
                          http::request message, model::milliseconds deadline,
                          serving::forwarder::callback done) {
   auto request = control::to_wire(message);
-  bool posted = channel_.post([this, member, request = std::move(request),
-                               deadline, done](control::control_plane& plane) {
-    plane.forward_request(
-        member, request, deadline, [this, done](const auto& answer) {
-          loop_.post([done, answer] { done(to_forward_result(answer)); });
-        });
-  });
+  bool posted = channel_.post(
+      [this, member, request, deadline, done](control::control_plane& plane) {
+        plane.forward_request(
+            member, request, deadline, [this, done](const auto& answer) {
+              loop_.post([done, answer] { done(to_forward_result(answer)); });
+            });
+      });
   if (!posted) {
     done(serving::forward_not_run{"control-restarting"});
   }
--- a/apps/vanillaladderd/src/main.cc
+++ b/apps/vanillaladderd/src/main.cc
@@ -141,24 +141,32 @@
   return 0;
 }
 
-}  // namespace
-}  // namespace vanillaladder::daemon
-
-int main(int argc, char** argv) {
-  namespace daemon = vanillaladder::daemon;
-  auto arguments = docopt::docopt(daemon::usage, {argv + 1, argv + argc}, true,
-                                  "vanillaladderd 0.1.0");
-  auto settings =
-      vanillaladder::runtime::load_settings(arguments["--settings"].asString());
+int run_command_line(const std::vector<std::string>& words) {
+  auto arguments = docopt::docopt(usage, words, true, "vanillaladderd 0.1.0");
+  auto settings = runtime::load_settings(arguments["--settings"].asString());
   if (!settings.ok()) {
     std::cerr << settings.status().message() << "\n";
-    return daemon::exit_invalid;
+    return exit_invalid;
   }
   if (arguments["--check"].asBool()) {
     return 0;
   }
   // Threads inherit the mask, so that only the signal thread takes signals.
-  auto set = daemon::stop_signals();
+  auto set = stop_signals();
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
-  return daemon::run(*settings);
+  return run(*settings);
+}
+
+}  // namespace
+}  // namespace vanillaladder::daemon
+
+int main(int argc, char** argv) {
+  try {
+    return vanillaladder::daemon::run_command_line({argv + 1, argv + argc});
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "vanillaladderd: %s\n", error.what());
+  } catch (...) {
+    std::fputs("vanillaladderd: unknown error\n", stderr);
+  }
+  return vanillaladder::daemon::exit_failure;
 }
--- a/bench/batch/cluster.cc
+++ b/bench/batch/cluster.cc
@@ -13,7 +13,7 @@
 using namespace control;
 
 constexpr std::int64_t worker_cpu_millis = 32'000;
-constexpr std::int64_t worker_memory_mib = 125 * 1024;
+constexpr std::int64_t worker_memory_mib = std::int64_t{125} * 1024;
 const std::vector<model::class_id> classes = {"report", "sync", "sheet",
                                               "export"};
 constexpr unsigned teams = 3;
@@ -120,7 +120,7 @@
 }
 
 void cluster::submit_job(shard& owner) {
-  const auto job_class = classes[random_() % classes.size()];
+  const auto& job_class = classes[random_() % classes.size()];
   const model::resources use{std::llround(draw(500, 3'000)),
                              std::llround(draw(512, 5'120)), 0};
   const double alone_ms = draw(60'000, 300'000);
--- a/bench/daemon/daemon_bench.cc
+++ b/bench/daemon/daemon_bench.cc
@@ -260,6 +260,9 @@
   } catch (const std::exception& error) {
     std::fprintf(stderr, "daemon_bench: %s\n", error.what());
     return 1;
+  } catch (...) {
+    std::fputs("daemon_bench: unknown error\n", stderr);
+    return 1;
   }
   return 0;
 }
--- a/tests/replay/replay.cc
+++ b/tests/replay/replay.cc
@@ -119,5 +119,8 @@
   } catch (const std::exception& error) {
     std::fprintf(stderr, "replay: %s\n", error.what());
     return 1;
+  } catch (...) {
+    std::fputs("replay: unknown error\n", stderr);
+    return 1;
   }
 }
