Say why the harness and the benchmark sleep

Cause: six sleeps stood without their reason.

Ruled out: removing them; two poll other processes, four are measuring times.

Change: comments only.

Conclusion: done.

--- a/bench/daemon/daemon_bench.cc
+++ b/bench/daemon/daemon_bench.cc
@@ -65,6 +65,7 @@
   options.domains = 4;
   cluster running(options);
   running.wait_until_ready();
+  // Shards are claimed and workers listed before the measurement.
   std::this_thread::sleep_for(std::chrono::seconds(6));
   std::vector<double> before;
   for (std::size_t n = 0; n < options.daemons; ++n) {
@@ -72,6 +73,7 @@
   }
   auto bytes = loopback_bytes();
   auto start = clock::now();
+  // The interval that is measured.
   std::this_thread::sleep_for(std::chrono::seconds(15));
   auto elapsed = seconds_since(start);
   auto sent = static_cast<double>(loopback_bytes() - bytes);
@@ -158,6 +160,7 @@
         running.at(0).caller_port,
         {"GET", "/quote/x?ms=20000", {{"x-class", "quote"}}, ""}));
   }
+  // All requests have arrived and wait by then.
   std::this_thread::sleep_for(std::chrono::seconds(8));
   auto usage = read_usage(running.at(0).process->pid());
   out.add("rss_by_queued_requests", static_cast<std::int64_t>(queued),
@@ -181,6 +184,7 @@
   running.wait_until_ready({0});
   out.add("recovery_time_by_jobs_of_10_tasks", static_cast<std::int64_t>(jobs),
           seconds_since(start), "s");
+  // The restarted daemon has taken over its shards by then.
   std::this_thread::sleep_for(std::chrono::seconds(8));
   double resident = 0;
   for (std::size_t n = 0; n < 3; ++n) {
--- a/tests/harness/include/harness/eventually.h
+++ b/tests/harness/include/harness/eventually.h
@@ -18,6 +18,8 @@
     if (std::chrono::steady_clock::now() >= until) {
       return false;
     }
+    // Other processes give no event to wait for; only the poll rate, never a
+    // verdict, depends on this.
     std::this_thread::sleep_for(interval);
   }
   return true;
--- a/tests/harness/src/child.cc
+++ b/tests/harness/src/child.cc
@@ -157,6 +157,7 @@
 std::optional<int> child::wait_for_exit(std::chrono::milliseconds limit) {
   auto until = clock::now() + limit;
   while (!reap(WNOHANG) && clock::now() < until) {
+    // waitpid has no time limit, so the end is polled for.
     std::this_thread::sleep_for(poll_interval);
   }
   return exit_code_;
