--- a/packages/control/include/control/detail/shard_core.h
+++ b/packages/control/include/control/detail/shard_core.h
@@ -74,7 +74,9 @@
                                              std::string& reason) const;
   std::optional<model::shard_id> better_shard(const model::resources& size,
                                               std::uint32_t tasks) const;
-  void delegate_if_better(coordination::job_number number);
+  bool delegate_if_better(coordination::job_number number);
+  void job_arrived(coordination::job_number number);
+  void job_left(coordination::job_number number);
   void delegate_blocked_jobs();
   void resend_delegations();
   void track_job(coordination::job_number number);
--- a/packages/control/include/control/detail/shard_types.h
+++ b/packages/control/include/control/detail/shard_types.h
@@ -43,6 +43,13 @@
 /// their workers.
 inline constexpr std::size_t max_failures = 3;
 inline constexpr std::size_t max_starts_per_pass = 64;
+/// A job that has run or moved before must be blocked for this long before it
+/// moves: a hand-over closes the workers for a moment, and two shards must not
+/// pass a job back and forth on lagging room reports.
+inline constexpr milliseconds move_blocked_after{5'000};
+/// A job with more started tasks than this stays, which bounds the record of a
+/// move to about 300 KB.
+inline constexpr std::size_t max_moved_progress = 5'000;
 /// An attempt is a straggler beyond this multiple of its expected run time.
 inline constexpr std::int64_t straggler_factor = 3;
 
--- a/packages/control/include/control/job_api.h
+++ b/packages/control/include/control/job_api.h
@@ -20,7 +20,12 @@
 ///   is allowed.
 absl::StatusOr<job_request> parse_job(std::string_view body);
 
-/// @return a body that `parse_job` turns into the same job.
+/// Parses the body that another shard's owner sends, which may also have
+/// `moves` and `progress`.
+/// @return as `parse_job`.
+absl::StatusOr<job_request> parse_delegated_job(std::string_view body);
+
+/// @return a body that `parse_delegated_job` turns into the same job.
 std::string format_job(const job_request& job);
 
 /// @return the caller's key in a job id, if the id is well-formed.
--- a/packages/control/include/control/shard_messages.h
+++ b/packages/control/include/control/shard_messages.h
@@ -37,6 +37,10 @@
   model::resources size;
   std::string command;
   std::int64_t expected_run_ms = 0;
+  /// How often the job has moved to another shard; 0 for a caller's job.
+  std::uint32_t moves = 0;
+  /// Where its tasks stand after earlier moves.
+  std::vector<coordination::task_progress> progress;
 };
 
 /// Outcome of a call to a worker.
@@ -152,7 +156,7 @@
 struct submit_job {
   request_token token = 0;
   job_request job;
-  /// Whether the home shard's owner delegates the job to this shard.
+  /// Whether another shard's owner delegates the job to this shard.
   bool delegated = false;
 };
 
@@ -169,6 +173,8 @@
 /// Answer of another shard's owner to `delegate_job`.
 struct delegation_done {
   model::job_id job;
+  /// The submission's `moves`, since an answer to an earlier move may be late.
+  std::uint32_t moves = 0;
   /// `ok` once that owner has read the submission back.
   call_outcome outcome = call_outcome::unknown;
 };
--- a/packages/control/include/control/shard_set.h
+++ b/packages/control/include/control/shard_set.h
@@ -94,8 +94,9 @@
               model::time_point now);
   void share_rooms();
   peer_mesh::http_callback on_loop(http_reply done);
-  void submit_here(shard_driver& driver, const std::string& body,
-                   bool delegated, http_reply done);
+  static void submit_here(shard_driver& driver,
+                          const absl::StatusOr<job_request>& job,
+                          http_reply done);
   void query_delegated(const std::string& key, const job_status& at_home,
                        http_reply done);
   std::string list_here(shard_driver& driver) const;
--- a/packages/control/src/job_api.cc
+++ b/packages/control/src/job_api.cc
@@ -91,19 +91,33 @@
   return status;
 }
 
-}  // namespace
-
-absl::StatusOr<job_request> parse_job(std::string_view body) {
-  auto object = json::parse(body, nullptr, false);
-  if (!object.is_object()) {
-    return invalid("body", "a JSON object");
+/// Entries are `[task, state, attempt, checkpoint]`, since a job may have
+/// thousands of them.
+absl::Status read_progress(const json& object, job_request& job) {
+  auto found = object.find("progress");
+  if (found == object.end()) {
+    return absl::OkStatus();
+  }
+  auto number = [](const json& value) { return value.is_number_unsigned(); };
+  for (const auto& entry : *found) {
+    if (!entry.is_array() || entry.size() != 4 || !number(entry[0]) ||
+        !number(entry[1]) || !number(entry[2]) || !entry[3].is_string() ||
+        entry[1] > static_cast<int>(coordination::task_state::cancelled)) {
+      return invalid("progress", "[task, state, attempt, checkpoint]");
+    }
+    job.progress.push_back({entry[0].get<std::uint32_t>(),
+                            entry[1].get<coordination::task_state>(),
+                            entry[2].get<std::uint32_t>(),
+                            entry[3].get<std::string>()});
   }
+  return absl::OkStatus();
+}
+
+absl::StatusOr<job_request> read_job(const json& object) {
   job_request job;
   std::string key;
   std::int64_t tasks = 1;
-  auto status =
-      check_fields(object, {"id", "team", "class", "tasks", "resources",
-                            "command", "expected_run_ms"});
+  absl::Status status;
   status.Update(read_name(object, "id", max_job_key_bytes, key));
   status.Update(read_name(object, "team", max_name_bytes, job.team));
   status.Update(read_name(object, "class", max_name_bytes, job.job_class));
@@ -133,7 +147,54 @@
   return job;
 }
 
+absl::StatusOr<json> parse_object(std::string_view body,
+                                  const std::set<std::string>& more) {
+  auto object = json::parse(body, nullptr, false);
+  if (!object.is_object()) {
+    return invalid("body", "a JSON object");
+  }
+  std::set<std::string> known = {
+      "id",      "team",      "class",          "tasks",
+      "command", "resources", "expected_run_ms"};
+  known.insert(more.begin(), more.end());
+  auto status = check_fields(object, known);
+  if (!status.ok()) {
+    return status;
+  }
+  return object;
+}
+
+}  // namespace
+
+absl::StatusOr<job_request> parse_job(std::string_view body) {
+  auto object = parse_object(body, {});
+  return object.ok() ? read_job(*object) : object.status();
+}
+
+absl::StatusOr<job_request> parse_delegated_job(std::string_view body) {
+  auto object = parse_object(body, {"moves", "progress"});
+  if (!object.ok()) {
+    return object.status();
+  }
+  auto job = read_job(*object);
+  if (!job.ok()) {
+    return job;
+  }
+  std::int64_t moves = 0;
+  auto status = read_integer(*object, "moves", 0, moves);
+  status.Update(read_progress(*object, *job));
+  if (!status.ok()) {
+    return status;
+  }
+  job->moves = static_cast<std::uint32_t>(moves);
+  return job;
+}
+
 std::string format_job(const job_request& job) {
+  json progress = json::array();
+  for (const auto& task : job.progress) {
+    progress.push_back({task.task, task.state, task.attempt, task.checkpoint});
+  }
   return json({{"id", job.id.substr(shard_prefix_bytes)},
                {"team", job.team},
                {"class", job.job_class},
@@ -143,7 +204,9 @@
                  {"memory_mib", job.size.memory_mib},
                  {"accelerators", job.size.accelerators}}},
                {"command", job.command},
-               {"expected_run_ms", job.expected_run_ms}})
+               {"expected_run_ms", job.expected_run_ms},
+               {"moves", job.moves},
+               {"progress", std::move(progress)}})
       .dump();
 }
 
--- a/packages/control/src/shard_calls.cc
+++ b/packages/control/src/shard_calls.cc
@@ -106,7 +106,7 @@
   auto key = *key_of_job(job->id);
   auto shard = coordination::home_shard(key);
   if (auto* driver = owned_driver(shard)) {
-    submit_here(*driver, body, false, std::move(done));
+    submit_here(*driver, job, std::move(done));
   } else if (const auto& owner = shards_.at(shard).peer_owner) {
     mesh_.submit_job(*owner, shard, key, body, job_call_timeout,
                      on_loop(std::move(done)));
@@ -115,14 +115,14 @@
   }
 }
 
-void shard_set::submit_here(shard_driver& driver, const std::string& body,
-                            bool delegated, http_reply done) {
-  auto job = parse_job(body);
+void shard_set::submit_here(shard_driver& driver,
+                            const absl::StatusOr<job_request>& job,
+                            http_reply done) {
   if (!job.ok()) {
     done(error_response(400, runtime::error_message(job.status())));
     return;
   }
-  driver.submit(*job, delegated,
+  driver.submit(*job, job->moves > 0,
                 [job = *job, done = std::move(done)](
                     submit_result result, const std::string& reason) {
                   done(submit_response(job, result, reason));
@@ -209,8 +209,7 @@
   auto id = coordination::make_job_id(key);
   switch (call) {
     case peer_handler::job_call::submit:
-      submit_here(*driver, body, coordination::home_shard(key) != shard,
-                  std::move(done));
+      submit_here(*driver, parse_delegated_job(body), std::move(done));
       return;
     case peer_handler::job_call::cancel:
       driver->cancel(id, [id, done = std::move(done)](cancel_result result) {
@@ -262,7 +261,7 @@
     done(outcome_of(answer.status));
   };
   if (auto* driver = owned_driver(shard)) {
-    submit_here(*driver, format_job(job), true, std::move(reply));
+    submit_here(*driver, job, std::move(reply));
   } else if (const auto& owner = shards_.at(shard).peer_owner) {
     mesh_.submit_job(*owner, shard, key, format_job(job), job_call_timeout,
                      on_loop(std::move(reply)));
--- a/packages/control/src/shard_driver.cc
+++ b/packages/control/src/shard_driver.cc
@@ -192,13 +192,13 @@
 
   void operator()(const actions::delegate_job& request) {
     auto& d = driver_;
-    d.peers_.delegate(
-        request.shard, request.job,
-        [&d, job = request.job.id, alive = d.alive_](auto result) {
-          if (*alive) {
-            d.feed(events::delegation_done{job, result});
-          }
-        });
+    d.peers_.delegate(request.shard, request.job,
+                      [&d, job = request.job.id, moves = request.job.moves,
+                       alive = d.alive_](auto result) {
+                        if (*alive) {
+                          d.feed(events::delegation_done{job, moves, result});
+                        }
+                      });
   }
 
   void operator()(const actions::cancel_delegated& request) {
--- a/packages/control/src/shard_machine_jobs.cc
+++ b/packages/control/src/shard_machine_jobs.cc
@@ -27,9 +27,39 @@
          job.size.accelerators >= 0;
 }
 
-job_request request_of(const records::job_submitted& job) {
-  return {job.id,        job.team,    job.class_name,          job.tasks,
-          job.resources, job.command, job.expected_run.count()};
+/// @return the submission that moves a job on, with the state of its tasks.
+job_request move_of(const records::job_entry& entry) {
+  const auto& job = entry.job;
+  job_request made{job.id,
+                   job.team,
+                   job.class_name,
+                   job.tasks,
+                   job.resources,
+                   job.command,
+                   job.expected_run.count(),
+                   job.moves + 1,
+                   {}};
+  for (std::uint32_t i = 0; i < entry.tasks.size(); ++i) {
+    const auto& task = entry.tasks[i];
+    // A cancellation is sent by itself and then decides how the job ends.
+    const auto state = task.state == records::task_state::cancelled
+                           ? records::task_state::pending
+                           : task.state;
+    if (task.attempt > 0 || state != records::task_state::pending)
+      made.progress.push_back({i, state, task.attempt, task.checkpoint});
+  }
+  return made;
+}
+
+bool any_started(const records::job_entry& job) {
+  return std::ranges::any_of(job.tasks, [](const auto& task) {
+    return task.state == records::task_state::started;
+  });
+}
+
+std::size_t changed_tasks(const records::job_entry& job) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      job.tasks, [](const auto& task) { return task.attempt > 0; }));
 }
 
 }  // namespace
@@ -78,8 +108,11 @@
 
 void shard_machine::impl::on(const events::submit_job& input) {
   if (const auto known = fold().find_job(input.job.id); owner && known) {
-    answer_submit(input.token, submit_result::exists);
-    return;
+    const auto& entry = *fold().find_job(*known);
+    if (!entry.delegated_to || input.job.moves <= entry.job.moves) {
+      answer_submit(input.token, submit_result::exists);
+      return;
+    }
   }
   std::string reason;
   if (const auto refusal = refuse_submit(input.job, reason)) {
@@ -88,7 +121,8 @@
   }
   for (auto& [id, entry] : waiting) {
     const auto* const body = std::get_if<records::job_submitted>(&entry.body);
-    if (body != nullptr && body->id == input.job.id) {
+    if (body != nullptr && body->id == input.job.id &&
+        body->moves == input.job.moves) {
       entry.tokens.push_back(input.token);
       return;
     }
@@ -100,9 +134,12 @@
                               input.job.size,
                               input.job.command,
                               milliseconds(input.job.expected_run_ms),
-                              std::nullopt};
-  if (input.delegated)
-    body.home = shard_of(input.job.id);
+                              std::nullopt,
+                              input.job.moves,
+                              input.job.progress};
+  const auto home = shard_of(input.job.id);
+  if (input.delegated && home != shard)
+    body.home = home;
   append(std::move(body), input.token);
 }
 
@@ -142,37 +179,63 @@
   return best;
 }
 
-void shard_machine::impl::delegate_if_better(records::job_number number) {
+bool shard_machine::impl::delegate_if_better(records::job_number number) {
   const auto* const job = fold().find_job(number);
-  if (job == nullptr || job->ended || job->cancelled)
-    return;
-  const bool untouched = std::ranges::all_of(
-      job->tasks, [](const auto& task) { return task.attempt == 0; });
-  if (!job->job.home && untouched && !releasing) {
-    if (const auto to = better_shard(job->job.resources, job->job.tasks)) {
-      append(records::job_delegated{number, *to});
-      return;  // Tracked here only if the record turns out to be invalid.
-    }
-  }
-  track_job(number);
+  if (job == nullptr || job->ended || job->cancelled || releasing ||
+      any_started(*job) || changed_tasks(*job) > max_moved_progress)
+    return false;
+  const auto left = job->job.tasks - job->finished - job->failed;
+  const auto to = better_shard(job->job.resources, left);
+  if (to)
+    append(records::job_delegated{number, *to});
+  return to.has_value();
+}
+
+void shard_machine::impl::job_arrived(records::job_number number) {
+  const auto* const job = fold().find_job(number);
+  // Left from an earlier move, if the job comes back.
+  delegations.erase(number);
+  delegated_cancels.erase(number);
+  const bool caller_job = job != nullptr && job->job.moves == 0;
+  if (!caller_job || !delegate_if_better(number))
+    track_job(number);
+}
+
+void shard_machine::impl::job_left(records::job_number number) {
+  jobs.erase(number);
+  spread.erase(number);
+  for (auto it = moved_from.lower_bound({number, 0});
+       it != moved_from.end() && it->first.first == number;)
+    it = moved_from.erase(it);
+  for (auto it = failures.lower_bound({number, 0});
+       it != failures.end() && it->first.first == number;)
+    it = failures.erase(it);
+  if (owner)
+    delegations[number] = now;
 }
 
-/// A job is first weighed when its submission is read back; domains go out and
-/// the room of other shards becomes known later.
+/// A job is first weighed when its submission is read back; domains go out,
+/// workers fail and the room of other shards becomes known later.
 void shard_machine::impl::delegate_blocked_jobs() {
-  std::vector<records::job_number> untouched;
+  std::vector<records::job_number> idle;
   for (const auto& [number, track] : jobs) {
     const auto first = attempts.lower_bound({number, 0});
     const bool started =
         first != attempts.end() && first->first.first == number;
     const auto* const job = fold().find_job(number);
-    if (!started && job != nullptr && track.pending.size() == job->job.tasks)
-      untouched.push_back(number);
+    if (started || job == nullptr)
+      continue;
+    const bool fresh_job = job->job.moves == 0 && changed_tasks(*job) == 0;
+    const bool blocked =
+        track.blocked_since && now - *track.blocked_since >= move_blocked_after;
+    if (fresh_job || blocked)
+      idle.push_back(number);
   }
-  for (const auto number : untouched) {
-    // Not tracked while the delegation is in flight, so that it starts nothing.
-    jobs.erase(number);
-    delegate_if_better(number);
+  for (const auto number : idle) {
+    // Not tracked while the delegation is in flight, so that it starts nothing;
+    // tracked again if the record turns out to be invalid.
+    if (delegate_if_better(number))
+      jobs.erase(number);
   }
 }
 
@@ -182,8 +245,7 @@
     if (due > now || job == nullptr || !job->delegated_to)
       continue;
     due = now + 2 * retry_interval;
-    out.emplace_back(
-        actions::delegate_job{*job->delegated_to, request_of(job->job)});
+    out.emplace_back(actions::delegate_job{*job->delegated_to, move_of(*job)});
   }
   for (auto& [number, due] : delegated_cancels) {
     const auto* const job = fold().find_job(number);
@@ -200,13 +262,18 @@
 
 void shard_machine::impl::on(const events::delegation_done& input) {
   const auto number = fold().find_job(input.job);
-  if (number && input.outcome == call_outcome::ok)
-    delegations.erase(*number);
+  if (!number || input.outcome != call_outcome::ok)
+    return;
+  const auto& job = *fold().find_job(*number);
+  if (job.delegated_to && input.moves == job.job.moves + 1 &&
+      delegations.erase(*number) > 0)
+    append(records::job_delegated{*number, *job.delegated_to, true});
 }
 
 void shard_machine::impl::on(const events::delegated_cancel_done& input) {
+  // A refusal means that the other shard no longer knows the job: it ended.
   const auto number = fold().find_job(input.job);
-  if (number && input.outcome == call_outcome::ok)
+  if (number && input.outcome != call_outcome::unknown)
     delegated_cancels.erase(*number);
 }
 
--- a/packages/control/src/shard_machine_log.cc
+++ b/packages/control/src/shard_machine_log.cc
@@ -83,12 +83,11 @@
                  },
                  [&](const records::job_submitted&) {
                    if (owner && result.job)
-                     delegate_if_better(*result.job);
+                     job_arrived(*result.job);
                  },
                  [&](const records::job_delegated& body) {
-                   jobs.erase(body.job);
-                   if (owner)
-                     delegations[body.job] = now;
+                   if (!body.confirmed)
+                     job_left(body.job);
                  },
                  [&](const records::job_cancelled& body) {
                    if (owner)
@@ -204,7 +203,7 @@
               out.emplace_back(actions::reply_cancel{token, answer});
           },
           [&](const records::job_delegated& body) {
-            if (owner && !valid)
+            if (owner && !valid && !body.confirmed)
               track_job(body.job);
           },
           [&](const records::tasks_started& body) {
@@ -288,10 +287,10 @@
     add_attempt(key, std::move(entry));
   }
   for (const auto& [number, job] : fold().jobs()) {
-    if (job.delegated_to)
+    if (job.delegated_to && !job.tasks.empty())
       delegations[number] = now;
-    else if (!job.ended)
-      delegate_if_better(number);
+    else if (!job.ended && !delegate_if_better(number))
+      track_job(number);
     if (job.cancelled)
       cancel_running(number);
   }
--- a/packages/control/src/trace_json.h
+++ b/packages/control/src/trace_json.h
@@ -92,6 +92,9 @@
 }
 
 /// A body travels inside a record, whose encoding is the log's.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(task_progress, task, state, attempt,
+                                   checkpoint)
+
 inline void to_json(nlohmann::json& to, const shard_body& from) {
   shard_record record;
   record.body = from;
@@ -110,8 +113,33 @@
 
 namespace vanillaladder::control {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_request, id, team, job_class, tasks,
-                                   size, command, expected_run_ms)
+/// Traces from before jobs moved with their progress have neither member.
+inline void to_json(nlohmann::json& to, const job_request& from) {
+  to = {{"id", from.id},
+        {"team", from.team},
+        {"job_class", from.job_class},
+        {"tasks", from.tasks},
+        {"size", from.size},
+        {"command", from.command},
+        {"expected_run_ms", from.expected_run_ms}};
+  if (from.moves > 0) {
+    to["moves"] = from.moves;
+    to["progress"] = from.progress;
+  }
+}
+
+inline void from_json(const nlohmann::json& from, job_request& to) {
+  from.at("id").get_to(to.id);
+  from.at("team").get_to(to.team);
+  from.at("job_class").get_to(to.job_class);
+  from.at("tasks").get_to(to.tasks);
+  from.at("size").get_to(to.size);
+  from.at("command").get_to(to.command);
+  from.at("expected_run_ms").get_to(to.expected_run_ms);
+  to.moves = from.value("moves", 0U);
+  to.progress = from.value("progress", to.progress);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(team_policy, weight, quota)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(batch_policy, domains_out, draining, dead,
                                    class_kinds, teams, reserve_percent,
@@ -165,7 +193,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submit_job, token, job, delegated)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cancel_job, token, job)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(query_job, token, job)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(delegation_done, job, outcome)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(delegation_done, job, moves, outcome)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(delegated_cancel_done, job, outcome)
 
 }  // namespace vanillaladder::control::events
--- a/packages/coordination/gen/records_types.cpp
+++ b/packages/coordination/gen/records_types.cpp
@@ -2909,6 +2909,175 @@
 }
 
 
+task_progress::~task_progress() noexcept {
+}
+
+
+void task_progress::__set_task(const int64_t val) {
+  this->task = val;
+}
+
+void task_progress::__set_state(const int32_t val) {
+  this->state = val;
+}
+
+void task_progress::__set_attempt(const int64_t val) {
+  this->attempt = val;
+}
+
+void task_progress::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+__isset.checkpoint = true;
+}
+std::ostream& operator<<(std::ostream& out, const task_progress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t task_progress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t task_progress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("task_progress");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.checkpoint) {
+    xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->checkpoint);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(task_progress &a, task_progress &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.state, b.state);
+  swap(a.attempt, b.attempt);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.__isset, b.__isset);
+}
+
+task_progress::task_progress(const task_progress& other154) {
+  task = other154.task;
+  state = other154.state;
+  attempt = other154.attempt;
+  checkpoint = other154.checkpoint;
+  __isset = other154.__isset;
+}
+task_progress::task_progress(task_progress&& other155) noexcept {
+  task = other155.task;
+  state = other155.state;
+  attempt = other155.attempt;
+  checkpoint = std::move(other155.checkpoint);
+  __isset = other155.__isset;
+}
+task_progress& task_progress::operator=(const task_progress& other156) {
+  task = other156.task;
+  state = other156.state;
+  attempt = other156.attempt;
+  checkpoint = other156.checkpoint;
+  __isset = other156.__isset;
+  return *this;
+}
+task_progress& task_progress::operator=(task_progress&& other157) noexcept {
+  task = other157.task;
+  state = other157.state;
+  attempt = other157.attempt;
+  checkpoint = std::move(other157.checkpoint);
+  __isset = other157.__isset;
+  return *this;
+}
+void task_progress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "task_progress(";
+  out << "task=" << to_string(task);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "checkpoint="; (__isset.checkpoint ? (out << to_string(checkpoint)) : (out << "<null>"));
+  out << ")";
+}
+
+
 job_submitted::~job_submitted() noexcept {
 }
 
@@ -2953,6 +3122,16 @@
   this->home = val;
 __isset.home = true;
 }
+
+void job_submitted::__set_moves(const int64_t val) {
+  this->moves = val;
+__isset.moves = true;
+}
+
+void job_submitted::__set_progress(const std::vector<task_progress> & val) {
+  this->progress = val;
+__isset.progress = true;
+}
 std::ostream& operator<<(std::ostream& out, const job_submitted& obj)
 {
   obj.printTo(out);
@@ -3061,6 +3240,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->moves);
+          this->__isset.moves = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->progress.clear();
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->progress.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
+            {
+              xfer += this->progress[_i162].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.progress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3119,6 +3326,24 @@
     xfer += oprot->writeI32(this->home);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.moves) {
+    xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->moves);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.progress) {
+    xfer += oprot->writeFieldBegin("progress", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->progress.size()));
+      std::vector<task_progress> ::const_iterator _iter163;
+      for (_iter163 = this->progress.begin(); _iter163 != this->progress.end(); ++_iter163)
+      {
+        xfer += (*_iter163).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3136,61 +3361,71 @@
   swap(a.command, b.command);
   swap(a.expected_run_ms, b.expected_run_ms);
   swap(a.home, b.home);
+  swap(a.moves, b.moves);
+  swap(a.progress, b.progress);
   swap(a.__isset, b.__isset);
 }
 
-job_submitted::job_submitted(const job_submitted& other154) {
-  id = other154.id;
-  team = other154.team;
-  class_name = other154.class_name;
-  tasks = other154.tasks;
-  cpu_millis = other154.cpu_millis;
-  memory_mib = other154.memory_mib;
-  accelerators = other154.accelerators;
-  command = other154.command;
-  expected_run_ms = other154.expected_run_ms;
-  home = other154.home;
-  __isset = other154.__isset;
-}
-job_submitted::job_submitted(job_submitted&& other155) noexcept {
-  id = std::move(other155.id);
-  team = std::move(other155.team);
-  class_name = std::move(other155.class_name);
-  tasks = other155.tasks;
-  cpu_millis = other155.cpu_millis;
-  memory_mib = other155.memory_mib;
-  accelerators = other155.accelerators;
-  command = std::move(other155.command);
-  expected_run_ms = other155.expected_run_ms;
-  home = other155.home;
-  __isset = other155.__isset;
-}
-job_submitted& job_submitted::operator=(const job_submitted& other156) {
-  id = other156.id;
-  team = other156.team;
-  class_name = other156.class_name;
-  tasks = other156.tasks;
-  cpu_millis = other156.cpu_millis;
-  memory_mib = other156.memory_mib;
-  accelerators = other156.accelerators;
-  command = other156.command;
-  expected_run_ms = other156.expected_run_ms;
-  home = other156.home;
-  __isset = other156.__isset;
+job_submitted::job_submitted(const job_submitted& other164) {
+  id = other164.id;
+  team = other164.team;
+  class_name = other164.class_name;
+  tasks = other164.tasks;
+  cpu_millis = other164.cpu_millis;
+  memory_mib = other164.memory_mib;
+  accelerators = other164.accelerators;
+  command = other164.command;
+  expected_run_ms = other164.expected_run_ms;
+  home = other164.home;
+  moves = other164.moves;
+  progress = other164.progress;
+  __isset = other164.__isset;
+}
+job_submitted::job_submitted(job_submitted&& other165) noexcept {
+  id = std::move(other165.id);
+  team = std::move(other165.team);
+  class_name = std::move(other165.class_name);
+  tasks = other165.tasks;
+  cpu_millis = other165.cpu_millis;
+  memory_mib = other165.memory_mib;
+  accelerators = other165.accelerators;
+  command = std::move(other165.command);
+  expected_run_ms = other165.expected_run_ms;
+  home = other165.home;
+  moves = other165.moves;
+  progress = std::move(other165.progress);
+  __isset = other165.__isset;
+}
+job_submitted& job_submitted::operator=(const job_submitted& other166) {
+  id = other166.id;
+  team = other166.team;
+  class_name = other166.class_name;
+  tasks = other166.tasks;
+  cpu_millis = other166.cpu_millis;
+  memory_mib = other166.memory_mib;
+  accelerators = other166.accelerators;
+  command = other166.command;
+  expected_run_ms = other166.expected_run_ms;
+  home = other166.home;
+  moves = other166.moves;
+  progress = other166.progress;
+  __isset = other166.__isset;
   return *this;
 }
-job_submitted& job_submitted::operator=(job_submitted&& other157) noexcept {
-  id = std::move(other157.id);
-  team = std::move(other157.team);
-  class_name = std::move(other157.class_name);
-  tasks = other157.tasks;
-  cpu_millis = other157.cpu_millis;
-  memory_mib = other157.memory_mib;
-  accelerators = other157.accelerators;
-  command = std::move(other157.command);
-  expected_run_ms = other157.expected_run_ms;
-  home = other157.home;
-  __isset = other157.__isset;
+job_submitted& job_submitted::operator=(job_submitted&& other167) noexcept {
+  id = std::move(other167.id);
+  team = std::move(other167.team);
+  class_name = std::move(other167.class_name);
+  tasks = other167.tasks;
+  cpu_millis = other167.cpu_millis;
+  memory_mib = other167.memory_mib;
+  accelerators = other167.accelerators;
+  command = std::move(other167.command);
+  expected_run_ms = other167.expected_run_ms;
+  home = other167.home;
+  moves = other167.moves;
+  progress = std::move(other167.progress);
+  __isset = other167.__isset;
   return *this;
 }
 void job_submitted::printTo(std::ostream& out) const {
@@ -3206,6 +3441,8 @@
   out << ", " << "command=" << to_string(command);
   out << ", " << "expected_run_ms=" << to_string(expected_run_ms);
   out << ", " << "home="; (__isset.home ? (out << to_string(home)) : (out << "<null>"));
+  out << ", " << "moves="; (__isset.moves ? (out << to_string(moves)) : (out << "<null>"));
+  out << ", " << "progress="; (__isset.progress ? (out << to_string(progress)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3221,6 +3458,11 @@
 void job_delegated::__set_to(const int32_t val) {
   this->to = val;
 }
+
+void job_delegated::__set_confirmed(const bool val) {
+  this->confirmed = val;
+__isset.confirmed = true;
+}
 std::ostream& operator<<(std::ostream& out, const job_delegated& obj)
 {
   obj.printTo(out);
@@ -3265,6 +3507,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3290,6 +3540,11 @@
   xfer += oprot->writeI32(this->to);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.confirmed) {
+    xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->confirmed);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3299,29 +3554,34 @@
   using ::std::swap;
   swap(a.job, b.job);
   swap(a.to, b.to);
+  swap(a.confirmed, b.confirmed);
   swap(a.__isset, b.__isset);
 }
 
-job_delegated::job_delegated(const job_delegated& other158) noexcept {
-  job = other158.job;
-  to = other158.to;
-  __isset = other158.__isset;
+job_delegated::job_delegated(const job_delegated& other168) noexcept {
+  job = other168.job;
+  to = other168.to;
+  confirmed = other168.confirmed;
+  __isset = other168.__isset;
 }
-job_delegated::job_delegated(job_delegated&& other159) noexcept {
-  job = other159.job;
-  to = other159.to;
-  __isset = other159.__isset;
+job_delegated::job_delegated(job_delegated&& other169) noexcept {
+  job = other169.job;
+  to = other169.to;
+  confirmed = other169.confirmed;
+  __isset = other169.__isset;
 }
-job_delegated& job_delegated::operator=(const job_delegated& other160) noexcept {
-  job = other160.job;
-  to = other160.to;
-  __isset = other160.__isset;
+job_delegated& job_delegated::operator=(const job_delegated& other170) noexcept {
+  job = other170.job;
+  to = other170.to;
+  confirmed = other170.confirmed;
+  __isset = other170.__isset;
   return *this;
 }
-job_delegated& job_delegated::operator=(job_delegated&& other161) noexcept {
-  job = other161.job;
-  to = other161.to;
-  __isset = other161.__isset;
+job_delegated& job_delegated::operator=(job_delegated&& other171) noexcept {
+  job = other171.job;
+  to = other171.to;
+  confirmed = other171.confirmed;
+  __isset = other171.__isset;
   return *this;
 }
 void job_delegated::printTo(std::ostream& out) const {
@@ -3329,6 +3589,7 @@
   out << "job_delegated(";
   out << "job=" << to_string(job);
   out << ", " << "to=" << to_string(to);
+  out << ", " << "confirmed="; (__isset.confirmed ? (out << to_string(confirmed)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3372,14 +3633,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size162;
-            ::apache::thrift::protocol::TType _etype165;
-            xfer += iprot->readListBegin(_etype165, _size162);
-            this->starts.resize(_size162);
-            uint32_t _i166;
-            for (_i166 = 0; _i166 < _size162; ++_i166)
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->starts.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              xfer += iprot->readI64(this->starts[_i166]);
+              xfer += iprot->readI64(this->starts[_i176]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3408,10 +3669,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->starts.size()));
-    std::vector<int64_t> ::const_iterator _iter167;
-    for (_iter167 = this->starts.begin(); _iter167 != this->starts.end(); ++_iter167)
+    std::vector<int64_t> ::const_iterator _iter177;
+    for (_iter177 = this->starts.begin(); _iter177 != this->starts.end(); ++_iter177)
     {
-      xfer += oprot->writeI64((*_iter167));
+      xfer += oprot->writeI64((*_iter177));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3428,22 +3689,22 @@
   swap(a.__isset, b.__isset);
 }
 
-tasks_started::tasks_started(const tasks_started& other168) {
-  starts = other168.starts;
-  __isset = other168.__isset;
+tasks_started::tasks_started(const tasks_started& other178) {
+  starts = other178.starts;
+  __isset = other178.__isset;
 }
-tasks_started::tasks_started(tasks_started&& other169) noexcept {
-  starts = std::move(other169.starts);
-  __isset = other169.__isset;
+tasks_started::tasks_started(tasks_started&& other179) noexcept {
+  starts = std::move(other179.starts);
+  __isset = other179.__isset;
 }
-tasks_started& tasks_started::operator=(const tasks_started& other170) {
-  starts = other170.starts;
-  __isset = other170.__isset;
+tasks_started& tasks_started::operator=(const tasks_started& other180) {
+  starts = other180.starts;
+  __isset = other180.__isset;
   return *this;
 }
-tasks_started& tasks_started::operator=(tasks_started&& other171) noexcept {
-  starts = std::move(other171.starts);
-  __isset = other171.__isset;
+tasks_started& tasks_started::operator=(tasks_started&& other181) noexcept {
+  starts = std::move(other181.starts);
+  __isset = other181.__isset;
   return *this;
 }
 void tasks_started::printTo(std::ostream& out) const {
@@ -3599,38 +3860,38 @@
   swap(a.__isset, b.__isset);
 }
 
-task_end::task_end(const task_end& other172) {
-  job = other172.job;
-  task = other172.task;
-  attempt = other172.attempt;
-  outcome = other172.outcome;
-  checkpoint = other172.checkpoint;
-  __isset = other172.__isset;
-}
-task_end::task_end(task_end&& other173) noexcept {
-  job = other173.job;
-  task = other173.task;
-  attempt = other173.attempt;
-  outcome = other173.outcome;
-  checkpoint = std::move(other173.checkpoint);
-  __isset = other173.__isset;
-}
-task_end& task_end::operator=(const task_end& other174) {
-  job = other174.job;
-  task = other174.task;
-  attempt = other174.attempt;
-  outcome = other174.outcome;
-  checkpoint = other174.checkpoint;
-  __isset = other174.__isset;
+task_end::task_end(const task_end& other182) {
+  job = other182.job;
+  task = other182.task;
+  attempt = other182.attempt;
+  outcome = other182.outcome;
+  checkpoint = other182.checkpoint;
+  __isset = other182.__isset;
+}
+task_end::task_end(task_end&& other183) noexcept {
+  job = other183.job;
+  task = other183.task;
+  attempt = other183.attempt;
+  outcome = other183.outcome;
+  checkpoint = std::move(other183.checkpoint);
+  __isset = other183.__isset;
+}
+task_end& task_end::operator=(const task_end& other184) {
+  job = other184.job;
+  task = other184.task;
+  attempt = other184.attempt;
+  outcome = other184.outcome;
+  checkpoint = other184.checkpoint;
+  __isset = other184.__isset;
   return *this;
 }
-task_end& task_end::operator=(task_end&& other175) noexcept {
-  job = other175.job;
-  task = other175.task;
-  attempt = other175.attempt;
-  outcome = other175.outcome;
-  checkpoint = std::move(other175.checkpoint);
-  __isset = other175.__isset;
+task_end& task_end::operator=(task_end&& other185) noexcept {
+  job = other185.job;
+  task = other185.task;
+  attempt = other185.attempt;
+  outcome = other185.outcome;
+  checkpoint = std::move(other185.checkpoint);
+  __isset = other185.__isset;
   return *this;
 }
 void task_end::printTo(std::ostream& out) const {
@@ -3684,14 +3945,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->ends.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->ends.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->ends[_i180].read(iprot);
+              xfer += this->ends[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3720,10 +3981,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<task_end> ::const_iterator _iter181;
-    for (_iter181 = this->ends.begin(); _iter181 != this->ends.end(); ++_iter181)
+    std::vector<task_end> ::const_iterator _iter191;
+    for (_iter191 = this->ends.begin(); _iter191 != this->ends.end(); ++_iter191)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3740,22 +4001,22 @@
   swap(a.__isset, b.__isset);
 }
 
-tasks_ended::tasks_ended(const tasks_ended& other182) {
-  ends = other182.ends;
-  __isset = other182.__isset;
+tasks_ended::tasks_ended(const tasks_ended& other192) {
+  ends = other192.ends;
+  __isset = other192.__isset;
 }
-tasks_ended::tasks_ended(tasks_ended&& other183) noexcept {
-  ends = std::move(other183.ends);
-  __isset = other183.__isset;
+tasks_ended::tasks_ended(tasks_ended&& other193) noexcept {
+  ends = std::move(other193.ends);
+  __isset = other193.__isset;
 }
-tasks_ended& tasks_ended::operator=(const tasks_ended& other184) {
-  ends = other184.ends;
-  __isset = other184.__isset;
+tasks_ended& tasks_ended::operator=(const tasks_ended& other194) {
+  ends = other194.ends;
+  __isset = other194.__isset;
   return *this;
 }
-tasks_ended& tasks_ended::operator=(tasks_ended&& other185) noexcept {
-  ends = std::move(other185.ends);
-  __isset = other185.__isset;
+tasks_ended& tasks_ended::operator=(tasks_ended&& other195) noexcept {
+  ends = std::move(other195.ends);
+  __isset = other195.__isset;
   return *this;
 }
 void tasks_ended::printTo(std::ostream& out) const {
@@ -3892,34 +4153,34 @@
   swap(a.__isset, b.__isset);
 }
 
-key_claimed::key_claimed(const key_claimed& other186) {
-  key = other186.key;
-  instance = other186.instance;
-  incarnation = other186.incarnation;
-  nonce = other186.nonce;
-  __isset = other186.__isset;
-}
-key_claimed::key_claimed(key_claimed&& other187) noexcept {
-  key = other187.key;
-  instance = std::move(other187.instance);
-  incarnation = other187.incarnation;
-  nonce = other187.nonce;
-  __isset = other187.__isset;
-}
-key_claimed& key_claimed::operator=(const key_claimed& other188) {
-  key = other188.key;
-  instance = other188.instance;
-  incarnation = other188.incarnation;
-  nonce = other188.nonce;
-  __isset = other188.__isset;
+key_claimed::key_claimed(const key_claimed& other196) {
+  key = other196.key;
+  instance = other196.instance;
+  incarnation = other196.incarnation;
+  nonce = other196.nonce;
+  __isset = other196.__isset;
+}
+key_claimed::key_claimed(key_claimed&& other197) noexcept {
+  key = other197.key;
+  instance = std::move(other197.instance);
+  incarnation = other197.incarnation;
+  nonce = other197.nonce;
+  __isset = other197.__isset;
+}
+key_claimed& key_claimed::operator=(const key_claimed& other198) {
+  key = other198.key;
+  instance = other198.instance;
+  incarnation = other198.incarnation;
+  nonce = other198.nonce;
+  __isset = other198.__isset;
   return *this;
 }
-key_claimed& key_claimed::operator=(key_claimed&& other189) noexcept {
-  key = other189.key;
-  instance = std::move(other189.instance);
-  incarnation = other189.incarnation;
-  nonce = other189.nonce;
-  __isset = other189.__isset;
+key_claimed& key_claimed::operator=(key_claimed&& other199) noexcept {
+  key = other199.key;
+  instance = std::move(other199.instance);
+  incarnation = other199.incarnation;
+  nonce = other199.nonce;
+  __isset = other199.__isset;
   return *this;
 }
 void key_claimed::printTo(std::ostream& out) const {
@@ -4059,34 +4320,34 @@
   swap(a.__isset, b.__isset);
 }
 
-key_finished::key_finished(const key_finished& other190) noexcept {
-  key = other190.key;
-  nonce = other190.nonce;
-  outcome = other190.outcome;
-  status = other190.status;
-  __isset = other190.__isset;
-}
-key_finished::key_finished(key_finished&& other191) noexcept {
-  key = other191.key;
-  nonce = other191.nonce;
-  outcome = other191.outcome;
-  status = other191.status;
-  __isset = other191.__isset;
-}
-key_finished& key_finished::operator=(const key_finished& other192) noexcept {
-  key = other192.key;
-  nonce = other192.nonce;
-  outcome = other192.outcome;
-  status = other192.status;
-  __isset = other192.__isset;
+key_finished::key_finished(const key_finished& other200) noexcept {
+  key = other200.key;
+  nonce = other200.nonce;
+  outcome = other200.outcome;
+  status = other200.status;
+  __isset = other200.__isset;
+}
+key_finished::key_finished(key_finished&& other201) noexcept {
+  key = other201.key;
+  nonce = other201.nonce;
+  outcome = other201.outcome;
+  status = other201.status;
+  __isset = other201.__isset;
+}
+key_finished& key_finished::operator=(const key_finished& other202) noexcept {
+  key = other202.key;
+  nonce = other202.nonce;
+  outcome = other202.outcome;
+  status = other202.status;
+  __isset = other202.__isset;
   return *this;
 }
-key_finished& key_finished::operator=(key_finished&& other193) noexcept {
-  key = other193.key;
-  nonce = other193.nonce;
-  outcome = other193.outcome;
-  status = other193.status;
-  __isset = other193.__isset;
+key_finished& key_finished::operator=(key_finished&& other203) noexcept {
+  key = other203.key;
+  nonce = other203.nonce;
+  outcome = other203.outcome;
+  status = other203.status;
+  __isset = other203.__isset;
   return *this;
 }
 void key_finished::printTo(std::ostream& out) const {
@@ -4228,34 +4489,34 @@
   swap(a.__isset, b.__isset);
 }
 
-task_entry::task_entry(const task_entry& other194) {
-  state = other194.state;
-  attempt = other194.attempt;
-  worker = other194.worker;
-  checkpoint = other194.checkpoint;
-  __isset = other194.__isset;
+task_entry::task_entry(const task_entry& other204) {
+  state = other204.state;
+  attempt = other204.attempt;
+  worker = other204.worker;
+  checkpoint = other204.checkpoint;
+  __isset = other204.__isset;
 }
-task_entry::task_entry(task_entry&& other195) noexcept {
-  state = other195.state;
-  attempt = other195.attempt;
-  worker = other195.worker;
-  checkpoint = std::move(other195.checkpoint);
-  __isset = other195.__isset;
+task_entry::task_entry(task_entry&& other205) noexcept {
+  state = other205.state;
+  attempt = other205.attempt;
+  worker = other205.worker;
+  checkpoint = std::move(other205.checkpoint);
+  __isset = other205.__isset;
 }
-task_entry& task_entry::operator=(const task_entry& other196) {
-  state = other196.state;
-  attempt = other196.attempt;
-  worker = other196.worker;
-  checkpoint = other196.checkpoint;
-  __isset = other196.__isset;
+task_entry& task_entry::operator=(const task_entry& other206) {
+  state = other206.state;
+  attempt = other206.attempt;
+  worker = other206.worker;
+  checkpoint = other206.checkpoint;
+  __isset = other206.__isset;
   return *this;
 }
-task_entry& task_entry::operator=(task_entry&& other197) noexcept {
-  state = other197.state;
-  attempt = other197.attempt;
-  worker = other197.worker;
-  checkpoint = std::move(other197.checkpoint);
-  __isset = other197.__isset;
+task_entry& task_entry::operator=(task_entry&& other207) noexcept {
+  state = other207.state;
+  attempt = other207.attempt;
+  worker = other207.worker;
+  checkpoint = std::move(other207.checkpoint);
+  __isset = other207.__isset;
   return *this;
 }
 void task_entry::printTo(std::ostream& out) const {
@@ -4369,14 +4630,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->tasks.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->tasks.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->tasks[_i202].read(iprot);
+              xfer += this->tasks[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4446,10 +4707,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<task_entry> ::const_iterator _iter203;
-    for (_iter203 = this->tasks.begin(); _iter203 != this->tasks.end(); ++_iter203)
+    std::vector<task_entry> ::const_iterator _iter213;
+    for (_iter213 = this->tasks.begin(); _iter213 != this->tasks.end(); ++_iter213)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter213).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4485,50 +4746,50 @@
   swap(a.__isset, b.__isset);
 }
 
-job_entry::job_entry(const job_entry& other204) {
-  job = other204.job;
-  submitted_at = other204.submitted_at;
-  cancelled = other204.cancelled;
-  delegated_to = other204.delegated_to;
-  tasks = other204.tasks;
-  finished = other204.finished;
-  failed = other204.failed;
-  ended = other204.ended;
-  __isset = other204.__isset;
-}
-job_entry::job_entry(job_entry&& other205) noexcept {
-  job = std::move(other205.job);
-  submitted_at = other205.submitted_at;
-  cancelled = other205.cancelled;
-  delegated_to = other205.delegated_to;
-  tasks = std::move(other205.tasks);
-  finished = other205.finished;
-  failed = other205.failed;
-  ended = other205.ended;
-  __isset = other205.__isset;
-}
-job_entry& job_entry::operator=(const job_entry& other206) {
-  job = other206.job;
-  submitted_at = other206.submitted_at;
-  cancelled = other206.cancelled;
-  delegated_to = other206.delegated_to;
-  tasks = other206.tasks;
-  finished = other206.finished;
-  failed = other206.failed;
-  ended = other206.ended;
-  __isset = other206.__isset;
+job_entry::job_entry(const job_entry& other214) {
+  job = other214.job;
+  submitted_at = other214.submitted_at;
+  cancelled = other214.cancelled;
+  delegated_to = other214.delegated_to;
+  tasks = other214.tasks;
+  finished = other214.finished;
+  failed = other214.failed;
+  ended = other214.ended;
+  __isset = other214.__isset;
+}
+job_entry::job_entry(job_entry&& other215) noexcept {
+  job = std::move(other215.job);
+  submitted_at = other215.submitted_at;
+  cancelled = other215.cancelled;
+  delegated_to = other215.delegated_to;
+  tasks = std::move(other215.tasks);
+  finished = other215.finished;
+  failed = other215.failed;
+  ended = other215.ended;
+  __isset = other215.__isset;
+}
+job_entry& job_entry::operator=(const job_entry& other216) {
+  job = other216.job;
+  submitted_at = other216.submitted_at;
+  cancelled = other216.cancelled;
+  delegated_to = other216.delegated_to;
+  tasks = other216.tasks;
+  finished = other216.finished;
+  failed = other216.failed;
+  ended = other216.ended;
+  __isset = other216.__isset;
   return *this;
 }
-job_entry& job_entry::operator=(job_entry&& other207) noexcept {
-  job = std::move(other207.job);
-  submitted_at = other207.submitted_at;
-  cancelled = other207.cancelled;
-  delegated_to = other207.delegated_to;
-  tasks = std::move(other207.tasks);
-  finished = other207.finished;
-  failed = other207.failed;
-  ended = other207.ended;
-  __isset = other207.__isset;
+job_entry& job_entry::operator=(job_entry&& other217) noexcept {
+  job = std::move(other217.job);
+  submitted_at = other217.submitted_at;
+  cancelled = other217.cancelled;
+  delegated_to = other217.delegated_to;
+  tasks = std::move(other217.tasks);
+  finished = other217.finished;
+  failed = other217.failed;
+  ended = other217.ended;
+  __isset = other217.__isset;
   return *this;
 }
 void job_entry::printTo(std::ostream& out) const {
@@ -4657,30 +4918,30 @@
   swap(a.__isset, b.__isset);
 }
 
-key_claim_entry::key_claim_entry(const key_claim_entry& other208) {
-  claim = other208.claim;
-  claimed_at = other208.claimed_at;
-  finished = other208.finished;
-  __isset = other208.__isset;
+key_claim_entry::key_claim_entry(const key_claim_entry& other218) {
+  claim = other218.claim;
+  claimed_at = other218.claimed_at;
+  finished = other218.finished;
+  __isset = other218.__isset;
 }
-key_claim_entry::key_claim_entry(key_claim_entry&& other209) noexcept {
-  claim = std::move(other209.claim);
-  claimed_at = other209.claimed_at;
-  finished = std::move(other209.finished);
-  __isset = other209.__isset;
+key_claim_entry::key_claim_entry(key_claim_entry&& other219) noexcept {
+  claim = std::move(other219.claim);
+  claimed_at = other219.claimed_at;
+  finished = std::move(other219.finished);
+  __isset = other219.__isset;
 }
-key_claim_entry& key_claim_entry::operator=(const key_claim_entry& other210) {
-  claim = other210.claim;
-  claimed_at = other210.claimed_at;
-  finished = other210.finished;
-  __isset = other210.__isset;
+key_claim_entry& key_claim_entry::operator=(const key_claim_entry& other220) {
+  claim = other220.claim;
+  claimed_at = other220.claimed_at;
+  finished = other220.finished;
+  __isset = other220.__isset;
   return *this;
 }
-key_claim_entry& key_claim_entry::operator=(key_claim_entry&& other211) noexcept {
-  claim = std::move(other211.claim);
-  claimed_at = other211.claimed_at;
-  finished = std::move(other211.finished);
-  __isset = other211.__isset;
+key_claim_entry& key_claim_entry::operator=(key_claim_entry&& other221) noexcept {
+  claim = std::move(other221.claim);
+  claimed_at = other221.claimed_at;
+  finished = std::move(other221.finished);
+  __isset = other221.__isset;
   return *this;
 }
 void key_claim_entry::printTo(std::ostream& out) const {
@@ -4809,17 +5070,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->jobs.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _ktype213;
-            ::apache::thrift::protocol::TType _vtype214;
-            xfer += iprot->readMapBegin(_ktype213, _vtype214, _size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _ktype223;
+            ::apache::thrift::protocol::TType _vtype224;
+            xfer += iprot->readMapBegin(_ktype223, _vtype224, _size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              int64_t _key217;
-              xfer += iprot->readI64(_key217);
-              job_entry& _val218 = this->jobs[_key217];
-              xfer += _val218.read(iprot);
+              int64_t _key227;
+              xfer += iprot->readI64(_key227);
+              job_entry& _val228 = this->jobs[_key227];
+              xfer += _val228.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4832,14 +5093,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended_jobs.clear();
-            uint32_t _size219;
-            ::apache::thrift::protocol::TType _etype222;
-            xfer += iprot->readListBegin(_etype222, _size219);
-            this->ended_jobs.resize(_size219);
-            uint32_t _i223;
-            for (_i223 = 0; _i223 < _size219; ++_i223)
+            uint32_t _size229;
+            ::apache::thrift::protocol::TType _etype232;
+            xfer += iprot->readListBegin(_etype232, _size229);
+            this->ended_jobs.resize(_size229);
+            uint32_t _i233;
+            for (_i233 = 0; _i233 < _size229; ++_i233)
             {
-              xfer += iprot->readI64(this->ended_jobs[_i223]);
+              xfer += iprot->readI64(this->ended_jobs[_i233]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4852,14 +5113,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->workers.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->workers.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += iprot->readString(this->workers[_i228]);
+              xfer += iprot->readString(this->workers[_i238]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4872,17 +5133,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->keys.clear();
-            uint32_t _size229;
-            ::apache::thrift::protocol::TType _ktype230;
-            ::apache::thrift::protocol::TType _vtype231;
-            xfer += iprot->readMapBegin(_ktype230, _vtype231, _size229);
-            uint32_t _i233;
-            for (_i233 = 0; _i233 < _size229; ++_i233)
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _ktype240;
+            ::apache::thrift::protocol::TType _vtype241;
+            xfer += iprot->readMapBegin(_ktype240, _vtype241, _size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
             {
-              int64_t _key234;
-              xfer += iprot->readI64(_key234);
-              key_claim_entry& _val235 = this->keys[_key234];
-              xfer += _val235.read(iprot);
+              int64_t _key244;
+              xfer += iprot->readI64(_key244);
+              key_claim_entry& _val245 = this->keys[_key244];
+              xfer += _val245.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4895,17 +5156,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->writers.clear();
-            uint32_t _size236;
-            ::apache::thrift::protocol::TType _ktype237;
-            ::apache::thrift::protocol::TType _vtype238;
-            xfer += iprot->readMapBegin(_ktype237, _vtype238, _size236);
-            uint32_t _i240;
-            for (_i240 = 0; _i240 < _size236; ++_i240)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _ktype247;
+            ::apache::thrift::protocol::TType _vtype248;
+            xfer += iprot->readMapBegin(_ktype247, _vtype248, _size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              std::string _key241;
-              xfer += iprot->readString(_key241);
-              writer_history& _val242 = this->writers[_key241];
-              xfer += _val242.read(iprot);
+              std::string _key251;
+              xfer += iprot->readString(_key251);
+              writer_history& _val252 = this->writers[_key251];
+              xfer += _val252.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4955,11 +5216,11 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::map<int64_t, job_entry> ::const_iterator _iter243;
-    for (_iter243 = this->jobs.begin(); _iter243 != this->jobs.end(); ++_iter243)
+    std::map<int64_t, job_entry> ::const_iterator _iter253;
+    for (_iter253 = this->jobs.begin(); _iter253 != this->jobs.end(); ++_iter253)
     {
-      xfer += oprot->writeI64(_iter243->first);
-      xfer += _iter243->second.write(oprot);
+      xfer += oprot->writeI64(_iter253->first);
+      xfer += _iter253->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4968,10 +5229,10 @@
   xfer += oprot->writeFieldBegin("ended_jobs", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ended_jobs.size()));
-    std::vector<int64_t> ::const_iterator _iter244;
-    for (_iter244 = this->ended_jobs.begin(); _iter244 != this->ended_jobs.end(); ++_iter244)
+    std::vector<int64_t> ::const_iterator _iter254;
+    for (_iter254 = this->ended_jobs.begin(); _iter254 != this->ended_jobs.end(); ++_iter254)
     {
-      xfer += oprot->writeI64((*_iter244));
+      xfer += oprot->writeI64((*_iter254));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4980,10 +5241,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
-    std::vector<std::string> ::const_iterator _iter245;
-    for (_iter245 = this->workers.begin(); _iter245 != this->workers.end(); ++_iter245)
+    std::vector<std::string> ::const_iterator _iter255;
+    for (_iter255 = this->workers.begin(); _iter255 != this->workers.end(); ++_iter255)
     {
-      xfer += oprot->writeString((*_iter245));
+      xfer += oprot->writeString((*_iter255));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4992,11 +5253,11 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::map<int64_t, key_claim_entry> ::const_iterator _iter246;
-    for (_iter246 = this->keys.begin(); _iter246 != this->keys.end(); ++_iter246)
+    std::map<int64_t, key_claim_entry> ::const_iterator _iter256;
+    for (_iter256 = this->keys.begin(); _iter256 != this->keys.end(); ++_iter256)
     {
-      xfer += oprot->writeI64(_iter246->first);
-      xfer += _iter246->second.write(oprot);
+      xfer += oprot->writeI64(_iter256->first);
+      xfer += _iter256->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5005,11 +5266,11 @@
   xfer += oprot->writeFieldBegin("writers", ::apache::thrift::protocol::T_MAP, 10);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->writers.size()));
-    std::map<std::string, writer_history> ::const_iterator _iter247;
-    for (_iter247 = this->writers.begin(); _iter247 != this->writers.end(); ++_iter247)
+    std::map<std::string, writer_history> ::const_iterator _iter257;
+    for (_iter257 = this->writers.begin(); _iter257 != this->writers.end(); ++_iter257)
     {
-      xfer += oprot->writeString(_iter247->first);
-      xfer += _iter247->second.write(oprot);
+      xfer += oprot->writeString(_iter257->first);
+      xfer += _iter257->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5035,58 +5296,58 @@
   swap(a.__isset, b.__isset);
 }
 
-shard_snapshot::shard_snapshot(const shard_snapshot& other248) {
-  covers = other248.covers;
-  epoch = other248.epoch;
-  owner = other248.owner;
-  owned_since = other248.owned_since;
-  next_job = other248.next_job;
-  jobs = other248.jobs;
-  ended_jobs = other248.ended_jobs;
-  workers = other248.workers;
-  keys = other248.keys;
-  writers = other248.writers;
-  __isset = other248.__isset;
-}
-shard_snapshot::shard_snapshot(shard_snapshot&& other249) noexcept {
-  covers = other249.covers;
-  epoch = other249.epoch;
-  owner = std::move(other249.owner);
-  owned_since = other249.owned_since;
-  next_job = other249.next_job;
-  jobs = std::move(other249.jobs);
-  ended_jobs = std::move(other249.ended_jobs);
-  workers = std::move(other249.workers);
-  keys = std::move(other249.keys);
-  writers = std::move(other249.writers);
-  __isset = other249.__isset;
-}
-shard_snapshot& shard_snapshot::operator=(const shard_snapshot& other250) {
-  covers = other250.covers;
-  epoch = other250.epoch;
-  owner = other250.owner;
-  owned_since = other250.owned_since;
-  next_job = other250.next_job;
-  jobs = other250.jobs;
-  ended_jobs = other250.ended_jobs;
-  workers = other250.workers;
-  keys = other250.keys;
-  writers = other250.writers;
-  __isset = other250.__isset;
+shard_snapshot::shard_snapshot(const shard_snapshot& other258) {
+  covers = other258.covers;
+  epoch = other258.epoch;
+  owner = other258.owner;
+  owned_since = other258.owned_since;
+  next_job = other258.next_job;
+  jobs = other258.jobs;
+  ended_jobs = other258.ended_jobs;
+  workers = other258.workers;
+  keys = other258.keys;
+  writers = other258.writers;
+  __isset = other258.__isset;
+}
+shard_snapshot::shard_snapshot(shard_snapshot&& other259) noexcept {
+  covers = other259.covers;
+  epoch = other259.epoch;
+  owner = std::move(other259.owner);
+  owned_since = other259.owned_since;
+  next_job = other259.next_job;
+  jobs = std::move(other259.jobs);
+  ended_jobs = std::move(other259.ended_jobs);
+  workers = std::move(other259.workers);
+  keys = std::move(other259.keys);
+  writers = std::move(other259.writers);
+  __isset = other259.__isset;
+}
+shard_snapshot& shard_snapshot::operator=(const shard_snapshot& other260) {
+  covers = other260.covers;
+  epoch = other260.epoch;
+  owner = other260.owner;
+  owned_since = other260.owned_since;
+  next_job = other260.next_job;
+  jobs = other260.jobs;
+  ended_jobs = other260.ended_jobs;
+  workers = other260.workers;
+  keys = other260.keys;
+  writers = other260.writers;
+  __isset = other260.__isset;
   return *this;
 }
-shard_snapshot& shard_snapshot::operator=(shard_snapshot&& other251) noexcept {
-  covers = other251.covers;
-  epoch = other251.epoch;
-  owner = std::move(other251.owner);
-  owned_since = other251.owned_since;
-  next_job = other251.next_job;
-  jobs = std::move(other251.jobs);
-  ended_jobs = std::move(other251.ended_jobs);
-  workers = std::move(other251.workers);
-  keys = std::move(other251.keys);
-  writers = std::move(other251.writers);
-  __isset = other251.__isset;
+shard_snapshot& shard_snapshot::operator=(shard_snapshot&& other261) noexcept {
+  covers = other261.covers;
+  epoch = other261.epoch;
+  owner = std::move(other261.owner);
+  owned_since = other261.owned_since;
+  next_job = other261.next_job;
+  jobs = std::move(other261.jobs);
+  ended_jobs = std::move(other261.ended_jobs);
+  workers = std::move(other261.workers);
+  keys = std::move(other261.keys);
+  writers = std::move(other261.writers);
+  __isset = other261.__isset;
   return *this;
 }
 void shard_snapshot::printTo(std::ostream& out) const {
@@ -5426,74 +5687,74 @@
   swap(a.__isset, b.__isset);
 }
 
-shard_record::shard_record(const shard_record& other252) {
-  id = other252.id;
-  epoch = other252.epoch;
-  claimed = other252.claimed;
-  released = other252.released;
-  submitted = other252.submitted;
-  delegated = other252.delegated;
-  cancelled_job = other252.cancelled_job;
-  started = other252.started;
-  ended = other252.ended;
-  key_claim = other252.key_claim;
-  key_finish = other252.key_finish;
-  keys_claimed_until = other252.keys_claimed_until;
-  worker = other252.worker;
-  snapshot = other252.snapshot;
-  __isset = other252.__isset;
-}
-shard_record::shard_record(shard_record&& other253) noexcept {
-  id = std::move(other253.id);
-  epoch = other253.epoch;
-  claimed = std::move(other253.claimed);
-  released = std::move(other253.released);
-  submitted = std::move(other253.submitted);
-  delegated = std::move(other253.delegated);
-  cancelled_job = other253.cancelled_job;
-  started = std::move(other253.started);
-  ended = std::move(other253.ended);
-  key_claim = std::move(other253.key_claim);
-  key_finish = std::move(other253.key_finish);
-  keys_claimed_until = other253.keys_claimed_until;
-  worker = std::move(other253.worker);
-  snapshot = std::move(other253.snapshot);
-  __isset = other253.__isset;
-}
-shard_record& shard_record::operator=(const shard_record& other254) {
-  id = other254.id;
-  epoch = other254.epoch;
-  claimed = other254.claimed;
-  released = other254.released;
-  submitted = other254.submitted;
-  delegated = other254.delegated;
-  cancelled_job = other254.cancelled_job;
-  started = other254.started;
-  ended = other254.ended;
-  key_claim = other254.key_claim;
-  key_finish = other254.key_finish;
-  keys_claimed_until = other254.keys_claimed_until;
-  worker = other254.worker;
-  snapshot = other254.snapshot;
-  __isset = other254.__isset;
+shard_record::shard_record(const shard_record& other262) {
+  id = other262.id;
+  epoch = other262.epoch;
+  claimed = other262.claimed;
+  released = other262.released;
+  submitted = other262.submitted;
+  delegated = other262.delegated;
+  cancelled_job = other262.cancelled_job;
+  started = other262.started;
+  ended = other262.ended;
+  key_claim = other262.key_claim;
+  key_finish = other262.key_finish;
+  keys_claimed_until = other262.keys_claimed_until;
+  worker = other262.worker;
+  snapshot = other262.snapshot;
+  __isset = other262.__isset;
+}
+shard_record::shard_record(shard_record&& other263) noexcept {
+  id = std::move(other263.id);
+  epoch = other263.epoch;
+  claimed = std::move(other263.claimed);
+  released = std::move(other263.released);
+  submitted = std::move(other263.submitted);
+  delegated = std::move(other263.delegated);
+  cancelled_job = other263.cancelled_job;
+  started = std::move(other263.started);
+  ended = std::move(other263.ended);
+  key_claim = std::move(other263.key_claim);
+  key_finish = std::move(other263.key_finish);
+  keys_claimed_until = other263.keys_claimed_until;
+  worker = std::move(other263.worker);
+  snapshot = std::move(other263.snapshot);
+  __isset = other263.__isset;
+}
+shard_record& shard_record::operator=(const shard_record& other264) {
+  id = other264.id;
+  epoch = other264.epoch;
+  claimed = other264.claimed;
+  released = other264.released;
+  submitted = other264.submitted;
+  delegated = other264.delegated;
+  cancelled_job = other264.cancelled_job;
+  started = other264.started;
+  ended = other264.ended;
+  key_claim = other264.key_claim;
+  key_finish = other264.key_finish;
+  keys_claimed_until = other264.keys_claimed_until;
+  worker = other264.worker;
+  snapshot = other264.snapshot;
+  __isset = other264.__isset;
   return *this;
 }
-shard_record& shard_record::operator=(shard_record&& other255) noexcept {
-  id = std::move(other255.id);
-  epoch = other255.epoch;
-  claimed = std::move(other255.claimed);
-  released = std::move(other255.released);
-  submitted = std::move(other255.submitted);
-  delegated = std::move(other255.delegated);
-  cancelled_job = other255.cancelled_job;
-  started = std::move(other255.started);
-  ended = std::move(other255.ended);
-  key_claim = std::move(other255.key_claim);
-  key_finish = std::move(other255.key_finish);
-  keys_claimed_until = other255.keys_claimed_until;
-  worker = std::move(other255.worker);
-  snapshot = std::move(other255.snapshot);
-  __isset = other255.__isset;
+shard_record& shard_record::operator=(shard_record&& other265) noexcept {
+  id = std::move(other265.id);
+  epoch = other265.epoch;
+  claimed = std::move(other265.claimed);
+  released = std::move(other265.released);
+  submitted = std::move(other265.submitted);
+  delegated = std::move(other265.delegated);
+  cancelled_job = other265.cancelled_job;
+  started = std::move(other265.started);
+  ended = std::move(other265.ended);
+  key_claim = std::move(other265.key_claim);
+  key_finish = std::move(other265.key_finish);
+  keys_claimed_until = other265.keys_claimed_until;
+  worker = std::move(other265.worker);
+  snapshot = std::move(other265.snapshot);
+  __isset = other265.__isset;
   return *this;
 }
 void shard_record::printTo(std::ostream& out) const {
--- a/packages/coordination/gen/records_types.h
+++ b/packages/coordination/gen/records_types.h
@@ -51,6 +51,8 @@
 
 class owner_released;
 
+class task_progress;
+
 class job_submitted;
 
 class job_delegated;
@@ -1081,8 +1083,76 @@
 
 std::ostream& operator<<(std::ostream& out, const owner_released& obj);
 
+typedef struct _task_progress__isset {
+  _task_progress__isset() : task(false), state(false), attempt(false), checkpoint(false) {}
+  bool task :1;
+  bool state :1;
+  bool attempt :1;
+  bool checkpoint :1;
+} _task_progress__isset;
+
+class task_progress : public virtual ::apache::thrift::TBase {
+ public:
+
+  task_progress(const task_progress&);
+  task_progress(task_progress&&) noexcept;
+  task_progress& operator=(const task_progress&);
+  task_progress& operator=(task_progress&&) noexcept;
+  task_progress() noexcept
+                : task(0),
+                  state(0),
+                  attempt(0),
+                  checkpoint() {
+  }
+
+  virtual ~task_progress() noexcept;
+  int64_t task;
+  int32_t state;
+  int64_t attempt;
+  std::string checkpoint;
+
+  _task_progress__isset __isset;
+
+  void __set_task(const int64_t val);
+
+  void __set_state(const int32_t val);
+
+  void __set_attempt(const int64_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  bool operator == (const task_progress & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (__isset.checkpoint != rhs.__isset.checkpoint)
+      return false;
+    else if (__isset.checkpoint && !(checkpoint == rhs.checkpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const task_progress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const task_progress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(task_progress &a, task_progress &b);
+
+std::ostream& operator<<(std::ostream& out, const task_progress& obj);
+
 typedef struct _job_submitted__isset {
-  _job_submitted__isset() : id(false), team(false), class_name(false), tasks(false), cpu_millis(false), memory_mib(false), accelerators(false), command(false), expected_run_ms(false), home(false) {}
+  _job_submitted__isset() : id(false), team(false), class_name(false), tasks(false), cpu_millis(false), memory_mib(false), accelerators(false), command(false), expected_run_ms(false), home(false), moves(false), progress(false) {}
   bool id :1;
   bool team :1;
   bool class_name :1;
@@ -1093,6 +1163,8 @@
   bool command :1;
   bool expected_run_ms :1;
   bool home :1;
+  bool moves :1;
+  bool progress :1;
 } _job_submitted__isset;
 
 class job_submitted : public virtual ::apache::thrift::TBase {
@@ -1112,7 +1184,8 @@
                   accelerators(0),
                   command(),
                   expected_run_ms(0),
-                  home(0) {
+                  home(0),
+                  moves(0) {
   }
 
   virtual ~job_submitted() noexcept;
@@ -1126,6 +1199,8 @@
   std::string command;
   int64_t expected_run_ms;
   int32_t home;
+  int64_t moves;
+  std::vector<task_progress>  progress;
 
   _job_submitted__isset __isset;
 
@@ -1149,6 +1224,10 @@
 
   void __set_home(const int32_t val);
 
+  void __set_moves(const int64_t val);
+
+  void __set_progress(const std::vector<task_progress> & val);
+
   bool operator == (const job_submitted & rhs) const
   {
     if (!(id == rhs.id))
@@ -1173,6 +1252,14 @@
       return false;
     else if (__isset.home && !(home == rhs.home))
       return false;
+    if (__isset.moves != rhs.__isset.moves)
+      return false;
+    else if (__isset.moves && !(moves == rhs.moves))
+      return false;
+    if (__isset.progress != rhs.__isset.progress)
+      return false;
+    else if (__isset.progress && !(progress == rhs.progress))
+      return false;
     return true;
   }
   bool operator != (const job_submitted &rhs) const {
@@ -1192,9 +1279,10 @@
 std::ostream& operator<<(std::ostream& out, const job_submitted& obj);
 
 typedef struct _job_delegated__isset {
-  _job_delegated__isset() : job(false), to(false) {}
+  _job_delegated__isset() : job(false), to(false), confirmed(false) {}
   bool job :1;
   bool to :1;
+  bool confirmed :1;
 } _job_delegated__isset;
 
 class job_delegated : public virtual ::apache::thrift::TBase {
@@ -1206,12 +1294,14 @@
   job_delegated& operator=(job_delegated&&) noexcept;
   job_delegated() noexcept
                 : job(0),
-                  to(0) {
+                  to(0),
+                  confirmed(0) {
   }
 
   virtual ~job_delegated() noexcept;
   int64_t job;
   int32_t to;
+  bool confirmed;
 
   _job_delegated__isset __isset;
 
@@ -1219,12 +1309,18 @@
 
   void __set_to(const int32_t val);
 
+  void __set_confirmed(const bool val);
+
   bool operator == (const job_delegated & rhs) const
   {
     if (!(job == rhs.job))
       return false;
     if (!(to == rhs.to))
       return false;
+    if (__isset.confirmed != rhs.__isset.confirmed)
+      return false;
+    else if (__isset.confirmed && !(confirmed == rhs.confirmed))
+      return false;
     return true;
   }
   bool operator != (const job_delegated &rhs) const {
--- a/packages/coordination/include/coordination/records.h
+++ b/packages/coordination/include/coordination/records.h
@@ -215,6 +215,19 @@
   bool operator==(const owner_released&) const = default;
 };
 
+enum class task_state { pending, started, finished, failed, cancelled };
+
+/// Where a task stands when its job moves to another shard; never `started`.
+struct task_progress {
+  std::uint32_t task = 0;
+  task_state state = task_state::pending;
+  /// Last attempt, which has ended; the next shard continues the numbers.
+  std::uint32_t attempt = 0;
+  std::string checkpoint;
+
+  bool operator==(const task_progress&) const = default;
+};
+
 struct job_submitted {
   model::job_id id;
   model::team_id team;
@@ -225,6 +238,12 @@
   model::milliseconds expected_run{0};
   /// Home shard, if this shard received the job by delegation.
   std::optional<model::shard_id> home;
+  /// How often the job has moved. A shard that has delegated the job takes it
+  /// again only with a higher number, so that a late repeat of an earlier move
+  /// is refused.
+  std::uint32_t moves = 0;
+  /// Tasks that are not new, by ascending index; empty in a job entry.
+  std::vector<task_progress> progress;
 
   bool operator==(const job_submitted&) const = default;
 };
@@ -232,6 +251,9 @@
 struct job_delegated {
   job_number job = 0;
   model::shard_id to = 0;
+  /// The other shard has recorded the submission: it is not sent again, and
+  /// this shard forgets the tasks.
+  bool confirmed = false;
 
   bool operator==(const job_delegated&) const = default;
 };
@@ -313,8 +335,6 @@
   bool operator==(const worker_registered&) const = default;
 };
 
-enum class task_state { pending, started, finished, failed, cancelled };
-
 struct task_entry {
   task_state state = task_state::pending;
   /// Last attempt started; 0 before the first.
@@ -331,7 +351,8 @@
   model::offset submitted_at = -1;
   bool cancelled = false;
   std::optional<model::shard_id> delegated_to;
-  /// One entry per task; empty once the job has ended or was delegated.
+  /// One entry per task; empty once the job has ended or its delegation was
+  /// confirmed.
   std::vector<task_entry> tasks;
   std::uint32_t finished = 0;
   std::uint32_t failed = 0;
@@ -357,7 +378,8 @@
   model::offset owned_since = -1;
   job_number next_job = 0;
   std::map<job_number, job_entry> jobs;
-  /// Ended and delegated jobs, oldest first; the oldest are forgotten.
+  /// Ended jobs and confirmed delegations, oldest first; the oldest are
+  /// forgotten.
   std::vector<job_number> ended_jobs;
   /// A worker's number is its position.
   std::vector<model::worker_id> workers;
--- a/packages/coordination/src/shard_codec.cc
+++ b/packages/coordination/src/shard_codec.cc
@@ -27,6 +27,34 @@
   return {in.owner, bits(in.incarnation)};
 }
 
+std::vector<wire::task_progress> to_wire(const std::vector<task_progress>& in) {
+  std::vector<wire::task_progress> out;
+  out.reserve(in.size());
+  for (const auto& task : in) {
+    wire::task_progress& added = out.emplace_back();
+    added.task = task.task;
+    added.state = static_cast<std::int32_t>(task.state);
+    added.attempt = task.attempt;
+    if (!task.checkpoint.empty()) {
+      added.__set_checkpoint(task.checkpoint);
+    }
+  }
+  return out;
+}
+
+std::vector<task_progress> from_wire(const std::vector<wire::task_progress>& in,
+                                     narrowing& narrow) {
+  std::vector<task_progress> out;
+  out.reserve(in.size());
+  for (const auto& task : in) {
+    out.push_back({narrow.number<std::uint32_t>(task.task),
+                   narrow.enumerator(task.state, task_state::cancelled),
+                   narrow.number<std::uint32_t>(task.attempt),
+                   task.checkpoint});
+  }
+  return out;
+}
+
 wire::job_submitted to_wire(const job_submitted& in) {
   wire::job_submitted out;
   out.id = in.id;
@@ -41,6 +69,12 @@
   if (in.home) {
     out.__set_home(*in.home);
   }
+  if (in.moves > 0) {
+    out.__set_moves(in.moves);
+  }
+  if (!in.progress.empty()) {
+    out.__set_progress(to_wire(in.progress));
+  }
   return out;
 }
 
@@ -56,6 +90,8 @@
   if (in.__isset.home) {
     out.home = narrow.number<model::shard_id>(in.home);
   }
+  out.moves = narrow.number<std::uint32_t>(in.moves);
+  out.progress = from_wire(in.progress, narrow);
   return out;
 }
 
@@ -260,6 +296,9 @@
     wire::job_delegated delegated;
     delegated.job = body.job;
     delegated.to = body.to;
+    if (body.confirmed) {
+      delegated.__set_confirmed(true);
+    }
     out.__set_delegated(delegated);
   }
   void operator()(const job_cancelled& body) const {
@@ -301,8 +340,10 @@
     return from_wire(in.submitted, narrow);
   }
   if (in.__isset.delegated) {
-    return job_delegated{narrow.number<job_number>(in.delegated.job),
-                         narrow.number<model::shard_id>(in.delegated.to)};
+    return job_delegated{
+        narrow.number<job_number>(in.delegated.job),
+        narrow.number<model::shard_id>(in.delegated.to),
+        in.delegated.__isset.confirmed && in.delegated.confirmed};
   }
   if (in.__isset.cancelled_job) {
     return job_cancelled{narrow.number<job_number>(in.cancelled_job)};
--- a/packages/coordination/src/shard_records.cc
+++ b/packages/coordination/src/shard_records.cc
@@ -22,9 +22,54 @@
   return out;
 }
 
-bool never_started(const job_entry& job) {
-  return std::all_of(job.tasks.begin(), job.tasks.end(),
-                     [](const task_entry& task) { return task.attempt == 0; });
+bool any_started(const job_entry& job) {
+  return std::any_of(
+      job.tasks.begin(), job.tasks.end(),
+      [](const task_entry& task) { return task.state == task_state::started; });
+}
+
+bool consistent(const job_submitted& body) {
+  if (body.id.empty() || body.tasks == 0 ||
+      body.tasks > shard_state::max_tasks) {
+    return false;
+  }
+  auto unordered = [](const task_progress& a, const task_progress& b) {
+    return a.task >= b.task;
+  };
+  return std::ranges::adjacent_find(body.progress, unordered) ==
+             body.progress.end() &&
+         std::ranges::all_of(body.progress, [&](const task_progress& task) {
+           return task.task < body.tasks && task.state != task_state::started;
+         });
+}
+
+/// @return whether a job that was delegated comes back by a later move.
+bool returns(const job_entry& job, const job_submitted& body) {
+  return job.delegated_to && body.moves > job.job.moves;
+}
+
+void cancel_pending(job_entry& job) {
+  job.cancelled = true;
+  for (auto& task : job.tasks) {
+    if (task.state == task_state::pending) {
+      task.state = task_state::cancelled;
+    }
+  }
+}
+
+/// @return an entry with the tasks as they stand after earlier moves.
+job_entry entry_of(model::offset at, const job_submitted& body) {
+  job_entry entry;
+  entry.job = body;
+  entry.job.progress.clear();
+  entry.submitted_at = at;
+  entry.tasks.resize(body.tasks);
+  for (const auto& moved : body.progress) {
+    entry.tasks[moved.task] = {moved.state, moved.attempt, 0, moved.checkpoint};
+    entry.finished += moved.state == task_state::finished ? 1 : 0;
+    entry.failed += moved.state == task_state::failed ? 1 : 0;
+  }
+  return entry;
 }
 
 }  // namespace
@@ -42,21 +87,26 @@
 }
 
 shard_result shard_state::visit(model::offset at, const job_submitted& body) {
-  if (auto known = find_job(body.id)) {
+  auto known = find_job(body.id);
+  if (known && !returns(data_.jobs.at(*known), body)) {
     shard_result out = verdict(shard_verdict::already_exists);
     out.job = known;
     return out;
   }
-  if (body.tasks == 0 || body.tasks > max_tasks || body.id.empty()) {
+  if (!consistent(body)) {
     return verdict(shard_verdict::wrong_state);
   }
-  job_entry entry;
-  entry.job = body;
-  entry.submitted_at = at;
-  entry.tasks.resize(body.tasks);
-  job_number number = data_.next_job++;
-  data_.jobs.emplace(number, std::move(entry));
+  job_entry entry = entry_of(at, body);
+  job_number number = known ? *known : data_.next_job++;
+  if (known) {
+    std::erase(data_.ended_jobs, number);
+    if (data_.jobs.at(number).cancelled) {
+      cancel_pending(entry);
+    }
+  }
+  job_entry& added = data_.jobs[number] = std::move(entry);
   job_index_[body.id] = number;
+  end_job_if_done(number, added);
   shard_result out;
   out.job = number;
   return out;
@@ -69,12 +119,18 @@
     return verdict(shard_verdict::unknown_subject);
   }
   job_entry& job = found->second;
-  if (job.ended || job.cancelled || job.delegated_to || !never_started(job) ||
+  if (body.confirmed) {
+    if (job.delegated_to != body.to || job.tasks.empty()) {
+      return verdict(shard_verdict::wrong_state);
+    }
+    close_job(body.job, job);
+    return {};
+  }
+  if (job.ended || job.cancelled || job.delegated_to || any_started(job) ||
       body.to >= model::shard_count) {
     return verdict(shard_verdict::wrong_state);
   }
   job.delegated_to = body.to;
-  close_job(body.job, job);
   return {};
 }
 
@@ -88,12 +144,7 @@
   if (job.ended || job.cancelled) {
     return verdict(shard_verdict::wrong_state);
   }
-  job.cancelled = true;
-  for (auto& task : job.tasks) {
-    if (task.state == task_state::pending) {
-      task.state = task_state::cancelled;
-    }
-  }
+  cancel_pending(job);
   end_job_if_done(body.job, job);
   return {};
 }
@@ -129,7 +180,8 @@
 
 bool shard_state::start(const task_start& entry) {
   task_entry* task = open_task(entry.job, entry.task);
-  if (task == nullptr || task->state != task_state::pending ||
+  if (task == nullptr || data_.jobs.at(entry.job).delegated_to ||
+      task->state != task_state::pending ||
       entry.attempt != task->attempt + 1 ||
       entry.worker >= data_.workers.size()) {
     return false;
--- a/packages/coordination/thrift/records.thrift
+++ b/packages/coordination/thrift/records.thrift
@@ -111,6 +111,14 @@
 struct owner_released {
 }
 
+// A task whose job has moved to another shard after it had started.
+struct task_progress {
+  1: i64 task
+  2: i32 state
+  3: i64 attempt
+  4: optional string checkpoint
+}
+
 struct job_submitted {
   1: string id
   2: string team
@@ -122,11 +130,14 @@
   8: string command
   9: i64 expected_run_ms
   10: optional i32 home
+  11: optional i64 moves
+  12: optional list<task_progress> progress
 }
 
 struct job_delegated {
   1: i64 job
   2: i32 to
+  3: optional bool confirmed
 }
 
 // Quadruples of job number, task index, worker number and attempt in one list,
