Model an owner that is paused within a handover

Cause: docs/promises.md listed as not proved that a paused owner can adopt a task or delete a lease between its last check and the send.

--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -78,6 +78,14 @@
 #else
 #define FRESH(i) (!v[i].behind)
 #endif
+/* With LATE_HANDOVER an owner may be paused between its check and the calls
+ * that adopt tasks and delete leases, which then arrive after another daemon
+ * has taken over. */
+#ifdef LATE_HANDOVER
+#define MAY_TAKE_OVER(i) true
+#else
+#define MAY_TAKE_OVER(i) FRESH(i)
+#endif
 #ifdef NO_SECOND_LIST
 #define READY(i) (OWNER(i) && d[i].lease > 0)
 #else
@@ -298,7 +306,7 @@
   :: d_step { OWNER(i) && d[i].lease == 0 && next_lease < NEXT_LEASE ->
        d[i].lease = next_lease; lease_valid[next_lease] = true; next_lease++;
        v[i].behind = true }
-  :: d_step { OWNER(i) && FRESH(i) && d[i].lease > 0 && !d[i].adopted &&
+  :: d_step { OWNER(i) && MAY_TAKE_OVER(i) && d[i].lease > 0 && !d[i].adopted &&
               lease_valid[d[i].lease] ->
        if
        :: run_attempt[0] > 0 -> run_lease[0] = d[i].lease
@@ -309,7 +317,7 @@
        :: else
        fi;
        d[i].adopted = true }
-  :: d_step { OWNER(i) && FRESH(i) && d[i].adopted && !d[i].deleted &&
+  :: d_step { OWNER(i) && MAY_TAKE_OVER(i) && d[i].adopted && !d[i].deleted &&
               lease_valid[d[i].lease] ->
 #ifndef NO_LEASE_DELETION
        delete_other_leases(i);
