--- a/packages/control/test/shard_simulation.h
+++ b/packages/control/test/shard_simulation.h
@@ -220,11 +220,17 @@
     daemon* const target = owner();
     const auto token = ++last_token_;
     if (target != nullptr)
-      deliver(*target,
-              events::submit_job{token,
-                                 {"s03-" + key, "team", job_class, tasks, size,
-                                  std::to_string(run_ms), run_ms, 0, {}},
-                                 false});
+      deliver(*target, events::submit_job{token,
+                                          {"s03-" + key,
+                                           "team",
+                                           job_class,
+                                           tasks,
+                                           size,
+                                           std::to_string(run_ms),
+                                           run_ms,
+                                           0,
+                                           {}},
+                                          false});
     return token;
   }
 
--- a/packages/coordination/test/records_test.cc
+++ b/packages/coordination/test/records_test.cc
@@ -40,17 +40,17 @@
   snapshot.owner = owner_claimed{"entry-1", 7};
   snapshot.owned_since = 10;
   snapshot.next_job = 2;
-  job_submitted job{"s01-a",
-                    "team",
-                    "report",
-                    2,
-                    {1000, 512, 1},
-                    "command",
-                    model::milliseconds(5),
-                    3,
-                    2,
-                    {{0, task_state::finished, 3, "cp"},
-                     {1, task_state::pending, 1, ""}}};
+  job_submitted job{
+      "s01-a",
+      "team",
+      "report",
+      2,
+      {1000, 512, 1},
+      "command",
+      model::milliseconds(5),
+      3,
+      2,
+      {{0, task_state::finished, 3, "cp"}, {1, task_state::pending, 1, ""}}};
   snapshot.jobs[1] = {
       job, 11, true, std::nullopt, {{task_state::started, 2, 0, "cp"}, {}},
       0,   0,  false};
