Keep a request open until the kernel has its whole response

Cause: when the kernel takes only a part of the last piece of a response, libwebsockets keeps the rest and reports the whole piece as written. The server then counted the request as answered, so that a graceful stop, which waits for open_requests() == 0, could exit and lose the end of the response.

Ruled out: the wait of the front host itself; it polls the right counter. Raising the size of the pieces; the last one is held back just the same.

Change: after the last piece the server asks lws_partial_buffered and, if something is held back, ends the request only in the next writable callback. A unit test narrows the size of a response down to the one that just fills the kernel's buffers while the caller reads nothing, destroys the server once the request counts as answered, and then reads.

--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -146,6 +146,7 @@
   int write(lws* connection);
   int write_headers(lws* connection, exchange& current);
   int write_body(lws* connection, exchange& current);
+  int finish_when_flushed(lws* connection);
   int finish(lws* connection);
   void closed(lws* connection);
 
@@ -255,6 +256,9 @@
   if (!current->headers_written) {
     return write_headers(connection, *current);
   }
+  if (current->body_bytes_written == current->answer()->body.size()) {
+    return finish_when_flushed(connection);
+  }
   return write_body(connection, *current);
 }
 
@@ -293,7 +297,7 @@
   }
   current.headers_written = true;
   if (answer.body.empty()) {
-    return finish(connection);
+    return finish_when_flushed(connection);
   }
   lws_callback_on_writable(connection);
   return 0;
@@ -314,12 +318,22 @@
   }
   current.body_bytes_written += chunk;
   if (last) {
-    return finish(connection);
+    return finish_when_flushed(connection);
   }
   lws_callback_on_writable(connection);
   return 0;
 }
 
+int server::impl::finish_when_flushed(lws* connection) {
+  // The library holds back what the kernel did not take; a process that exits
+  // loses it.
+  if (lws_partial_buffered(connection) != 0) {
+    lws_callback_on_writable(connection);
+    return 0;
+  }
+  return finish(connection);
+}
+
 int server::impl::finish(lws* connection) {
   auto found = exchanges.find(connection);
   bool close = closing || found->second->must_close;
--- a/packages/http/test/server_test.cc
+++ b/packages/http/test/server_test.cc
@@ -1,6 +1,12 @@
 #include "http/server.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <optional>
 #include <thread>
 
 #include "http/client.h"
@@ -32,6 +38,77 @@
   }
 };
 
+/// A connection that reads nothing until it is told to.
+class unread_connection {
+ public:
+  explicit unread_connection(std::uint16_t port)
+      : end_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    int buffer_bytes = 1 << 16;
+    setsockopt(end_, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+               sizeof(buffer_bytes));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    std::string text = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    bool sent = connect(end_, reinterpret_cast<sockaddr*>(&address),
+                        sizeof(address)) == 0 &&
+                send(end_, text.data(), text.size(), MSG_NOSIGNAL) ==
+                    static_cast<ssize_t>(text.size());
+    REQUIRE(sent);
+  }
+  ~unread_connection() { close(end_); }
+  unread_connection(const unread_connection&) = delete;
+  unread_connection& operator=(const unread_connection&) = delete;
+
+  /// @return bytes of the body that arrive until the server's end is closed.
+  std::size_t read_body() {
+    std::string all;
+    std::string buffer(1 << 16, ' ');
+    for (ssize_t count = 0;
+         (count = recv(end_, buffer.data(), buffer.size(), 0)) > 0;) {
+      all.append(buffer, 0, static_cast<std::size_t>(count));
+    }
+    auto body = all.find("\r\n\r\n");
+    return body == std::string::npos ? 0 : all.size() - body - 4;
+  }
+
+ private:
+  int end_;
+};
+
+/// Destroys a server as soon as it has no open request, or after many turns
+/// of its loop, while the caller reads nothing.
+/// @return bytes of the body that the caller can still read; nothing if the
+///   request stayed open.
+std::optional<std::size_t> read_after_destruction(std::size_t body_bytes) {
+  constexpr int most_turns = 60;
+  auto loop = std::make_unique<event_loop>();
+  bool handled = false;
+  auto server = server::listen(
+      *loop, {}, [&](request, const std::shared_ptr<responder>& answer) {
+        handled = true;
+        answer->respond({200, {}, std::string(body_bytes, 'x')});
+      });
+  REQUIRE(server.ok());
+  unread_connection caller((*server)->port());
+  int turns = 0;
+  std::function<void()> look = [&] {
+    turns += handled ? 1 : 0;
+    if ((handled && (*server)->open_requests() == 0) || turns == most_turns) {
+      loop->stop();
+    } else {
+      loop->call_after(2ms, look);
+    }
+  };
+  loop->call_after(2ms, look);
+  loop->run();
+  bool done = (*server)->open_requests() == 0;
+  server->reset();
+  loop.reset();
+  return done ? std::optional(caller.read_body()) : std::nullopt;
+}
+
 request post(std::string target, std::string body) {
   return {"POST", std::move(target), {{"x-team", "a"}}, std::move(body)};
 }
@@ -60,6 +137,27 @@
   CHECK(answer->body == "a/a/b?c=d&e=f" + body);
 }
 
+// Guards against a request that counts as answered while the library still
+// holds the end of its response, which a process that exits would lose.
+TEST_CASE("a request stays open until the kernel has the whole response") {
+  // The last piece is held back only at the size that just fills the kernel's
+  // buffers, so the sizes narrow down to it. How many turns a request gets
+  // affects only which sizes are tried.
+  std::size_t fits = 1U << 16;
+  std::size_t too_large = 1U << 24;
+  while (too_large - fits > 512) {
+    auto bytes = (fits + too_large) / 2;
+    auto arrived = read_after_destruction(bytes);
+    if (arrived) {
+      REQUIRE(*arrived == bytes);
+      fits = bytes;
+    } else {
+      too_large = bytes;
+    }
+  }
+  CHECK(fits > (1U << 16));
+}
+
 // Guards against answers that are matched by order instead of by connection.
 TEST_CASE("answers given in reverse order reach their own callers") {
   fixture f;
