--- a/tests/harness/include/harness/cluster.h
+++ b/tests/harness/include/harness/cluster.h
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
   std::size_t backends = 3;
   std::size_t workers = 6;
   std::size_t domains = 3;
+  std::size_t racks_per_domain = 1;
   /// Service of every backend server.
   std::string service = "quote";
   std::int64_t worker_cpu_millis = 32000;
@@ -37,7 +39,8 @@
 
   /// Ports of the stand-in's services.
   const std::vector<std::uint16_t>& ports() const { return ports_; }
-  /// Changes settings of the member with this id, of all if it is empty.
+  /// Changes settings of the members with these ids, separated by commas and
+  /// all in one instant; of all members if it is empty.
   void set(const json& values, const std::string& id = "");
   /// Sends another request to the control port.
   outcome control(http::request message);
@@ -86,12 +89,20 @@
 
   /// Starts a daemon again after its process has ended.
   void restart(std::size_t index);
+  /// Starts one more daemon, with an id that no daemon has had.
+  /// @return its index.
+  std::size_t add_daemon();
+  /// Lets all workers of a rack die in one instant.
+  /// @return their ids.
+  std::set<std::string> kill_rack(const std::string& rack);
   /// @return whether `GET /readyz` answers 200.
   bool ready(std::size_t index);
   /// Waits until these daemons are ready; all if empty.
   bool wait_until_ready(std::vector<std::size_t> indices = {});
   /// @return the domain of the n-th instance, counted from 0.
   std::string domain_of(std::size_t index) const;
+  /// @return the rack of the n-th instance, counted from 0.
+  std::string rack_of(std::size_t index) const;
   /// @return the id of the n-th worker or backend server, counted from 0.
   static std::string worker_id(std::size_t index);
   static std::string backend_id(std::size_t index);
--- a/tests/harness/src/cluster.cc
+++ b/tests/harness/src/cluster.cc
@@ -95,12 +95,7 @@
       options_.backends);
   publish_instances();
   for (std::size_t n = 0; n < options_.daemons; ++n) {
-    auto target = std::make_unique<daemon>();
-    target->id = "entry-" + std::to_string(n + 1);
-    target->domain = domain_of(n);
-    target->log_proxy = std::make_unique<fault_proxy>(log_->ports()[0]);
-    launch(*target);
-    daemons_.push_back(std::move(target));
+    add_daemon();
   }
 }
 
@@ -119,6 +114,11 @@
   return "domain-" + std::to_string(index % options_.domains + 1);
 }
 
+std::string cluster::rack_of(std::size_t index) const {
+  auto number = index / options_.domains % options_.racks_per_domain + 1;
+  return domain_of(index) + "-rack-" + std::to_string(number);
+}
+
 std::string cluster::worker_id(std::size_t index) {
   return "worker-" + std::to_string(index + 1);
 }
@@ -136,7 +136,7 @@
                  {"address", "127.0.0.1"},
                  {"port", port},
                  {"domain", domain_of(index)},
-                 {"rack", domain_of(index) + "-rack-1"},
+                 {"rack", rack_of(index)},
                  {"state", "live"}});
     entries.push_back(std::move(more));
   };
@@ -185,6 +185,33 @@
   launch(at(index));
 }
 
+std::size_t cluster::add_daemon() {
+  auto index = daemons_.size();
+  auto target = std::make_unique<daemon>();
+  target->id = "entry-" + std::to_string(index + 1);
+  target->domain = domain_of(index);
+  target->log_proxy = std::make_unique<fault_proxy>(log_->ports()[0]);
+  launch(*target);
+  daemons_.push_back(std::move(target));
+  return index;
+}
+
+std::set<std::string> cluster::kill_rack(const std::string& rack) {
+  std::set<std::string> lost;
+  std::string list;
+  for (std::size_t n = 0; n < options_.workers; ++n) {
+    if (rack_of(n) == rack) {
+      lost.insert(worker_id(n));
+      list += (list.empty() ? "" : ",") + worker_id(n);
+    }
+  }
+  if (lost.empty()) {
+    throw std::runtime_error("no worker is in " + rack);
+  }
+  workers_->set({{"dead", true}}, list);
+  return lost;
+}
+
 bool cluster::ready(std::size_t index) {
   return http_.get(at(index).operator_port, "/readyz").status == 200;
 }
--- a/tests/standins/include/standins/backend_standin.h
+++ b/tests/standins/include/standins/backend_standin.h
@@ -16,7 +16,8 @@
 /// A backend server that runs requests as timers and echoes them.
 ///
 /// It runs whatever it is sent, also beyond its slots, and goes on when the
-/// caller disconnects. `?ms=<n>` is the run time. Settings: `silent` (`none`,
+/// caller disconnects. `?ms=<n>` is the run time, `&bytes=<n>` the length of a
+/// `padding` in the response. Settings: `silent` (`none`,
 /// `open`: connections that are open now never get an answer, `all`: new ones
 /// neither), `refuse` (the next n requests get 503 with `x-not-run`, -1 =
 /// all), `close` (the next n requests run, then the connection is closed
--- a/tests/standins/include/standins/group.h
+++ b/tests/standins/include/standins/group.h
@@ -10,8 +10,8 @@
 
 /// Answers the control port of a program that hosts several stand-ins.
 ///
-/// `POST /set?id=<id>` changes one of them, `POST /set` all, `GET /state`
-/// lists the states under `label` beside the members of `totals`.
+/// `POST /set?id=<id>,<id>` changes these in one instant, `POST /set` all,
+/// `GET /state` lists the states under `label` beside the members of `totals`.
 template <typename Member>
 void control_group(const std::vector<std::unique_ptr<Member>>& members,
                    const char* label, const event_record& events, json totals,
@@ -20,9 +20,11 @@
   if (message.method == "GET" && path == "/events") {
     answer_events(message, answer, events);
   } else if (message.method == "POST" && path == "/set") {
-    auto wanted = http::query_value(message.target, "id");
+    auto ids = http::query_value(message.target, "id");
+    auto wanted = ids.empty() ? std::string() : "," + std::string(ids) + ",";
     for (const auto& member : members) {
-      if (wanted.empty() || wanted == member->id()) {
+      if (wanted.empty() ||
+          wanted.find("," + member->id() + ",") != std::string::npos) {
         member->set(message, answer);
       }
     }
--- a/tests/standins/src/backend_standin.cc
+++ b/tests/standins/src/backend_standin.cc
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t longest_run_ms = 600000;
+constexpr std::int64_t most_padding_bytes = 64 << 20;
 
 /// @return the member `key` of a JSON body, or the idempotency key.
 std::string key_of(const http::request& message) {
@@ -119,6 +120,11 @@
                {"target", message.target},
                {"key", current->key},
                {"body", message.body}};
+  auto bytes = query_integer(message.target, "bytes", 0);
+  if (bytes > 0) {
+    auto length = std::min(bytes, most_padding_bytes);
+    body["padding"] = std::string(static_cast<std::size_t>(length), '.');
+  }
   reply(current->answer, current->fail ? 500 : 200, body);
   current->connected = false;
   --connections_;
