Start a waiting request only with time for twice its cost

Cause: a waiting request was started while its remaining time was at least its expected cost, though admission asks for twice the cost.

Change: the dispatch check and admission share `time_needed_ms`.

--- a/packages/scheduling/include/scheduling/admission.h
+++ b/packages/scheduling/include/scheduling/admission.h
@@ -30,6 +30,10 @@
   double remaining_ms = 0;
 };
 
+/// @return the time that a request should have left when it starts; below it
+///   a timeout is likely, which wastes the slot.
+double time_needed_ms(double expected_cost_ms);
+
 /// @return the time that a request is expected to wait for a slot: the backlog
 ///   ahead of it, or that of its team at the team's fair share of the slots if
 ///   that is shorter.
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -32,6 +32,10 @@
 
 }  // namespace
 
+double time_needed_ms(double expected_cost_ms) {
+  return run_time_factor * expected_cost_ms;
+}
+
 double expected_wait_ms(const admission_input& input) {
   if (input.slot_free || input.slots == 0) {
     return 0;
@@ -52,7 +56,7 @@
     return std::nullopt;
   }
   double needed =
-      expected_wait_ms(input) + run_time_factor * input.expected_cost_ms;
+      expected_wait_ms(input) + time_needed_ms(input.expected_cost_ms);
   if (input.backlog_ms <= 0 || needed <= input.remaining_ms) {
     return std::nullopt;
   }
--- a/packages/serving/src/request_dispatch.cc
+++ b/packages/serving/src/request_dispatch.cc
@@ -90,9 +90,10 @@
   auto& request = requests_.at(id);
   const auto& facts = request.facts;
   double left_ms = as_ms(facts.deadline - now);
-  bool hopeless = options_.check_expected_wait && !request.try_regardless &&
-                  request.state.attempts() == 0 &&
-                  left_ms < request.expected_cost_ms;
+  bool hopeless =
+      options_.check_expected_wait && !request.try_regardless &&
+      request.state.attempts() == 0 &&
+      left_ms < scheduling::time_needed_ms(request.expected_cost_ms);
   if (left_ms <= 0 || hopeless) {
     give_up(id, refusal_reason::deadline, out);
     return true;
--- a/packages/serving/test/request_machine_test.cc
+++ b/packages/serving/test/request_machine_test.cc
@@ -216,6 +216,38 @@
   std::vector<attempt> attempts_;
 };
 
+/// A fresh view with one server that has one slot.
+serving_view one_slot() {
+  serving_view view;
+  view.fresh = true;
+  backend_grant grant;
+  grant.info.id = "b0";
+  grant.info.service = "quotes";
+  grant.granted_slots = 1;
+  view.backends.push_back(grant);
+  return view;
+}
+
+request_facts quote(model::time_point deadline) {
+  return {.service = "quotes",
+          .request_class = "c",
+          .team = "a",
+          .path = "/quotes/x",
+          .idempotent = true,
+          .deadline = deadline};
+}
+
+template <typename Action>
+std::vector<request_id> ids_of(const action_list& actions) {
+  std::vector<request_id> ids;
+  for (const auto& what : actions) {
+    if (const auto* found = std::get_if<Action>(&what)) {
+      ids.push_back(found->id);
+    }
+  }
+  return ids;
+}
+
 }  // namespace
 
 // Guards against any order of events that sends a request twice at a time,
@@ -233,4 +265,20 @@
   }
 }
 
+// Guards against slots that are spent on requests that will time out: a
+// timeout wastes the slot and counts against a healthy server.
+TEST_CASE("a waiting request starts only with time for twice its cost") {
+  auto now = model::time_point() + 1h;
+  request_machine machine;
+  machine.update(one_slot(), now);
+  machine.arrive(1, quote(now + 10s), now);
+  constexpr auto cost = milliseconds(
+      static_cast<int>(scheduling::cost_estimator::initial_cost_ms));
+  machine.arrive(2, quote(now + 300ms + 2 * cost - 1ms), now);
+  machine.arrive(3, quote(now + 300ms + 2 * cost), now);
+  auto actions = machine.attempt_ended(1, 1, {}, now + 300ms);
+  CHECK(ids_of<refuse_action>(actions) == std::vector<request_id>{2});
+  CHECK(ids_of<send_action>(actions) == std::vector<request_id>{3});
+}
+
 }  // namespace vanillaladder::serving
