Test the rule for a silent worker with a silent former owner

Cause: docs/promises.md listed the rule as neither modelled nor run.

Change: a machine test in virtual time pauses the owner, cuts the worker of its task off from the next owner, and requires the second start no earlier than the limit of blind renewals and three leases after the takeover.

Measured: control_test passes. With the limit of blind renewals removed from `former_owners_gone` the test fails: second start after 31.3 s instead of 90.3 s.

Conclusion: the rule is checked; not with real processes.

--- a/packages/control/test/shard_machine_test.cc
+++ b/packages/control/test/shard_machine_test.cc
@@ -491,4 +491,26 @@
   CHECK(sim.violations.empty());
 }
 
+// Guards against a task that is placed again while a worker and its former
+// owner are both silent: that owner may still renew the lease.
+TEST_CASE("a task of a silent worker and owner waits for the renewal limit",
+          "[shard_machine]") {
+  settled sim(2);
+  sim.submit("a", 1, 600'000, small);
+  REQUIRE(sim.run_until(seconds(5), [&] { return sim.starts() == 1; }));
+  auto& next = *sim.next;
+  sim.old->paused_until = sim.now + seconds(600);
+  for (const auto& [id, worker] : sim.workers)
+    if (!worker.starts.empty())
+      next.cut[id] = sim.now + seconds(600);
+  REQUIRE(sim.run_until(seconds(60), [&] { return next.machine->owned(); }));
+  const auto owned_since = sim.now;
+  REQUIRE(sim.run_until(seconds(300), [&] { return sim.starts() == 2; }));
+  // The limit of the simulation and three leases of 10 s with 1% tolerance.
+  const milliseconds least(60'000 + 30'300);
+  CHECK(sim.now - owned_since >= least);
+  CHECK(sim.now - owned_since < least + seconds(5));
+  CHECK(sim.violations.empty());
+}
+
 }  // namespace vanillaladder::control
