Test the loss of a rack of workers

Cause: docs/promises.md listed the loss of a rack as not run with real processes.

Change: a test in which three of 18 workers, two of one shard and one of another, die in the same instant under 30 tasks. Each task that they ran must start exactly once more, on a worker that is left, and finish once; the others must not be started again.

Conclusion: kept; no fault found.

--- a/tests/process/worker_failure_test.cc
+++ b/tests/process/worker_failure_test.cc
@@ -1,6 +1,40 @@
+#include "coordination/shard_state.h"
 #include "scene.h"
 
 namespace vanillaladder::process {
+namespace {
+
+/// @return the placement shards that have a worker among these.
+std::set<model::shard_id> shards_of(const std::set<std::string>& workers) {
+  std::set<model::shard_id> shards;
+  for (const auto& worker : workers) {
+    shards.insert(coordination::worker_shard(worker));
+  }
+  return shards;
+}
+
+/// @return ids of the first `count` workers that are not in `lost`.
+std::set<std::string> survivors_of(const std::set<std::string>& lost,
+                                   std::size_t count) {
+  std::set<std::string> left;
+  for (std::size_t n = 0; n < count; ++n) {
+    left.insert(harness::cluster::worker_id(n));
+  }
+  std::erase_if(left, [&](const auto& id) { return lost.contains(id); });
+  return left;
+}
+
+/// @return the workers that started each task, in order.
+std::map<std::string, std::vector<std::string>> workers_by_task(scene& s) {
+  std::map<std::string, std::vector<std::string>> found;
+  for (const auto& event : s.cluster.workers().events("start")) {
+    found[event.at("task").get<std::string>()].push_back(
+        event.at("worker").get<std::string>());
+  }
+  return found;
+}
+
+}  // namespace
 
 // Guards against tasks of a silent worker that are placed again while they
 // may still run there.
@@ -45,6 +79,43 @@
   s.check_promises();
 }
 
+// Guards against tasks that are lost, repeated or placed without room when
+// several workers of one shard, and one of another, end in the same instant
+// and never answer again.
+TEST_CASE("the tasks of a lost rack run again once on the workers left") {
+  constexpr std::size_t jobs_count = 30;
+  cluster_options options;
+  options.workers = 18;
+  options.racks_per_domain = 2;
+  // Four tasks each: those of the lost workers need more room than is free.
+  options.worker_cpu_millis = 5000;
+  options.limits["lease_ms"] = 3000;
+  scene s(options);
+  auto jobs = s.submit_many("rack-", jobs_count, 10000);
+  REQUIRE(eventually([&] { return s.running_tasks() == jobs_count; }));
+  auto lost = s.cluster.kill_rack("domain-3-rack-1");
+  REQUIRE(lost.size() == 3);
+  // The case of a shard without workers is a test of its own.
+  auto left = survivors_of(lost, options.workers);
+  for (auto shard : shards_of(lost)) {
+    REQUIRE(shards_of(left).contains(shard));
+  }
+  REQUIRE(shards_of(lost).size() == 2);
+  auto killed = s.ends("killed");
+  REQUIRE(killed.size() >= 2);
+  CHECK(s.all_finish(1, jobs));
+  auto starts = workers_by_task(s);
+  CHECK(starts.size() == jobs_count);
+  for (const auto& [task, workers] : starts) {
+    INFO(task);
+    REQUIRE(workers.size() == (killed.contains(task) ? 2 : 1));
+    CHECK(lost.contains(workers.front()) == killed.contains(task));
+    CHECK(left.contains(workers.back()));
+  }
+  s.check_finished_once(jobs_count);
+  s.check_promises();
+}
+
 // Guards against a start that is sent again because its answer was lost.
 TEST_CASE("lost start answers cause no second run") {
   scene s;
