Test two daemons that restart in one log outage

Cause: docs/promises.md listed two instances that restart within one outage as not proved, and no test ran it.

Ruled out: three daemons; then the survivor has no majority, serves nothing, and the test could not tell a safe daemon from a dead one.

Change: of five daemons, two that own running tasks are killed and restarted while the log is down, until the leases of their earlier incarnations have ended. No daemon may be ready, or answer a request, without the patch accepted before; the three others must serve; nothing may start; after the outage the patch is in force, the domain that is out stays empty and each task finishes once.

The restarted daemons cannot reach their peers before the log is back, since they learn the peers' addresses from it, so this does not run the case in which they recover from a minority.

--- a/tests/process/log_failure_test.cc
+++ b/tests/process/log_failure_test.cc
@@ -24,6 +24,46 @@
   return failures;
 }
 
+/// @return up to two daemons that hold leases of running tasks, filled up with
+///   others.
+std::set<std::size_t> two_owners(scene& s) {
+  std::set<std::size_t> owners;
+  for (const auto& event : s.cluster.workers().events("start")) {
+    if (owners.size() < 2) {
+      owners.insert(s.owner_of(event));
+    }
+  }
+  for (std::size_t n = 0; owners.size() < 2; ++n) {
+    owners.insert(n);
+  }
+  return owners;
+}
+
+/// @return whether every lease that one of these daemons was granted before
+///   has ended.
+bool leases_ended(scene& s, const std::set<std::size_t>& daemons) {
+  std::set<std::string> open;
+  for (const auto& event : s.cluster.workers().events("lease")) {
+    if (daemons.contains(s.owner_of(event))) {
+      open.insert(event.at("lease").get<std::string>());
+    }
+  }
+  for (const auto& event : s.cluster.workers().events("lease_end")) {
+    open.erase(event.at("lease").get<std::string>());
+  }
+  return open.empty();
+}
+
+/// @return whether the daemon shows this configuration key and value.
+bool shows(scene& s, std::size_t daemon, const std::string& key,
+           const std::string& value) {
+  auto config = s.cluster.http()
+                    .get(s.cluster.at(daemon).operator_port, "/v1/config")
+                    .parsed();
+  return config.is_object() && config.contains("keys") &&
+         config["keys"].value(key, "") == value;
+}
+
 }  // namespace
 
 // Guards against daemons that stop serving, or start batch work, while the
@@ -119,6 +159,72 @@
   s.check_promises();
 }
 
+// Guards against restarted daemons that act on an empty view, or count each
+// other as a majority, while the log cannot tell them what was accepted
+// before; and against tasks that run twice or are lost when two owners forget
+// at the same time what they had placed.
+TEST_CASE("two daemons restarted in one log outage forget nothing") {
+  constexpr std::size_t daemons = 5;
+  constexpr auto key = "domain.domain-3.state";
+  cluster_options options;
+  options.daemons = daemons;
+  options.limits["lease_ms"] = 4000;
+  scene s(options);
+  s.apply(0, "before-outage", {{key, "out"}});
+  auto jobs = s.submit_many("two-restarts-", 16, 12000);
+  REQUIRE(eventually([&] { return s.running_tasks() == 16; }));
+  auto restarted = two_owners(s);
+  s.cluster.log().set({{"outage", "close"}});
+  for (auto n : restarted) {
+    s.cluster.at(n).process->send_signal(SIGKILL);
+    REQUIRE(s.cluster.at(n).process->wait_for_exit());
+  }
+  for (auto n : restarted) {
+    s.cluster.restart(n);
+  }
+  REQUIRE(eventually([&] { return leases_ended(s, restarted); }));
+  auto starts = s.cluster.workers().events("start").size();
+  for (int round = 0; round < 20; ++round) {
+    for (std::size_t n = 0; n < daemons; ++n) {
+      auto body = json{{"key", "round-" + std::to_string(round) + "-" +
+                                   std::to_string(n)}}
+                      .dump();
+      auto answer = s.cluster.request(n, body, 20).get();
+      INFO("daemon " << n << ": " << answer.status << " " << answer.body);
+      bool served = answer.status == 200;
+      REQUIRE((served || answer.header("x-outcome") == "not-run"));
+      REQUIRE((!served || shows(s, n, key, "out")));
+      REQUIRE((!s.cluster.ready(n) || shows(s, n, key, "out")));
+    }
+  }
+  for (std::size_t n = 0; n < daemons; ++n) {
+    if (!restarted.contains(n)) {
+      // The other three are a majority and know the newest view.
+      CHECK(eventually([&] {
+        return s.cluster.request(n, "outage", 20).get().status == 200;
+      }));
+    }
+  }
+  CHECK(s.cluster.workers().events("start").size() == starts);
+  s.cluster.log().set({{"outage", "none"}});
+  REQUIRE(s.cluster.wait_until_ready());
+  CHECK(s.in_force(key, "out"));
+  for (auto n : restarted) {
+    CHECK(s.all_finish(n, jobs));
+    // Their earlier slots are granted again only once nothing that was sent
+    // through them can still run.
+    CHECK(eventually(
+        [&] { return s.cluster.request(n, "after", 20).get().status == 200; }));
+  }
+  s.check_finished_once(16);
+  for (const auto& event : s.cluster.workers().events("start")) {
+    // Every third worker is in the domain that is out.
+    CHECK(event.at("worker") != harness::cluster::worker_id(2));
+    CHECK(event.at("worker") != harness::cluster::worker_id(5));
+  }
+  s.check_promises();
+}
+
 // Guards against state that is lost when the log drops old records.
 TEST_CASE("a restarted daemon recovers from snapshots in a short log") {
   scene s;
