Restart daemons in the outage test at the port that peers know

Cause: in the test of two restarts in one log outage the restarted daemons had new peer ports, so that no heartbeat could reach them; in a deployment the ports are fixed, and the peers' heartbeats for the earlier incarnations arrive.

Ruled out: fixed ports for every test; tests that run beside each other would collide.

Change: cluster::restart_at_same_peer_port, which tries again while another connection has the port; the test runs both variants.

--- a/tests/harness/include/harness/cluster.h
+++ b/tests/harness/include/harness/cluster.h
@@ -89,6 +89,8 @@
 
   /// Starts a daemon again after its process has ended.
   void restart(std::size_t index);
+  /// Starts a daemon again that its peers find at the port they know.
+  void restart_at_same_peer_port(std::size_t index);
   /// Starts one more daemon, with an id that no daemon has had.
   /// @return its index.
   std::size_t add_daemon();
@@ -125,8 +127,10 @@
 
  private:
   void publish_instances();
-  std::filesystem::path write_settings(const daemon& target);
-  void launch(daemon& target);
+  std::filesystem::path write_settings(const daemon& target,
+                                       std::uint16_t peer_port);
+  /// @param peer_port 0 picks a free one.
+  void launch(daemon& target, std::uint16_t peer_port = 0);
 
   cluster_options options_;
   std::filesystem::path folder_;
--- a/tests/harness/src/cluster.cc
+++ b/tests/harness/src/cluster.cc
@@ -153,12 +153,14 @@
   instances_->control({"POST", "/entries", {}, entries.dump()});
 }
 
-std::filesystem::path cluster::write_settings(const daemon& target) {
+std::filesystem::path cluster::write_settings(const daemon& target,
+                                              std::uint16_t peer_port) {
   auto path = folder_ / (target.id + ".toml");
   std::ofstream file(path);
   file << "[instance]\nid = \"" << target.id << "\"\ndomain = \""
        << target.domain << "\"\n\n[listen]\naddress = \"127.0.0.1\"\n"
-       << "caller_port = 0\noperator_port = 0\npeer_port = 0\n\n"
+       << "caller_port = 0\noperator_port = 0\npeer_port = " << peer_port
+       << "\n\n"
        << "[log]\naddress = \"127.0.0.1\"\nport = " << target.log_proxy->port()
        << "\n\n[instances]\naddress = \"127.0.0.1\"\nport = "
        << instances_->ports()[0] << "\n\n[limits]\n";
@@ -169,8 +171,8 @@
   return path;
 }
 
-void cluster::launch(daemon& target) {
-  auto settings = write_settings(target);
+void cluster::launch(daemon& target, std::uint16_t peer_port) {
+  auto settings = write_settings(target, peer_port);
   target.process = std::make_unique<child>(
       "vanillaladderd",
       std::vector<std::string>{"--settings", settings.string()},
@@ -185,6 +187,24 @@
   launch(at(index));
 }
 
+void cluster::restart_at_same_peer_port(std::size_t index) {
+  auto port = at(index).peer_port;
+  std::string failure;
+  bool started = eventually([&] {
+    // Another process may have the port for its connections for a while.
+    try {
+      launch(at(index), port);
+      return true;
+    } catch (const std::runtime_error& error) {
+      failure = error.what();
+      return false;
+    }
+  });
+  if (!started) {
+    throw std::runtime_error("cannot restart " + at(index).id + ": " + failure);
+  }
+}
+
 std::size_t cluster::add_daemon() {
   auto index = daemons_.size();
   auto target = std::make_unique<daemon>();
--- a/tests/process/log_failure_test.cc
+++ b/tests/process/log_failure_test.cc
@@ -166,6 +166,9 @@
 TEST_CASE("two daemons restarted in one log outage forget nothing") {
   constexpr std::size_t daemons = 5;
   constexpr auto key = "domain.domain-3.state";
+  // Peers that find them at the known port send them heartbeats meant for the
+  // earlier process.
+  bool known_port = GENERATE(false, true);
   cluster_options options;
   options.daemons = daemons;
   options.limits["lease_ms"] = 4000;
@@ -180,7 +183,11 @@
     REQUIRE(s.cluster.at(n).process->wait_for_exit());
   }
   for (auto n : restarted) {
-    s.cluster.restart(n);
+    if (known_port) {
+      s.cluster.restart_at_same_peer_port(n);
+    } else {
+      s.cluster.restart(n);
+    }
   }
   REQUIRE(eventually([&] { return leases_ended(s, restarted); }));
   auto starts = s.cluster.workers().events("start").size();
