Learn the size of batch tasks per job first

Cause: the learned size was the largest ratio of used to declared size seen in a class, so one job that declares too little made every job of its class reserve up to three times its size until its tasks ended.

Ruled out: the percentile alone, since tasks of unmeasured jobs keep the prior to their end.

Change: a job's tasks reserve the peak of the job, enlarged by the growth of other jobs of the class until a task of the job has finished. An unmeasured job reserves the 95th percentile of the jobs of its class plus a quarter of the excess, and starts one task first if that is above its declared size; the rest waits for the measurement, at most 30 s. Urgent tasks do not wait. Measurements under a throttle do not count as a measurement of the job. Reservations of running tasks are still never lowered.

--- a/packages/control/include/control/detail/shard_core.h
+++ b/packages/control/include/control/detail/shard_core.h
@@ -114,6 +114,8 @@
                 const platform::task_report& report);
   void take_absent(worker_entry& worker, const platform::worker_report& report);
   void learn(worker_entry& worker, const platform::worker_report& report);
+  void learn_usage(const task_key& key, const attempt& entry,
+                   const platform::usage_report& measured);
   void learn_slowdowns(worker_entry& worker,
                        const platform::worker_report& report,
                        const scheduling::class_counts& running);
@@ -151,6 +153,9 @@
   void place_kind(bool urgent, std::vector<scheduling::placement_worker>& view);
   bool place_one(coordination::job_number number, detail::job_track& job,
                  std::vector<scheduling::placement_worker>& view);
+  bool awaits_measurement(coordination::job_number number,
+                          const detail::job_track& job,
+                          const scheduling::placement_task& task) const;
   std::vector<scheduling::placement_worker> placement_view();
   std::set<model::worker_id> workers_to_avoid(const task_key& key,
                                               bool urgent) const;
--- a/packages/control/include/control/detail/shard_types.h
+++ b/packages/control/include/control/detail/shard_types.h
@@ -39,6 +39,9 @@
 inline constexpr milliseconds start_seen_after{5'000};
 /// A job blocked for this long gets a worker kept free for it.
 inline constexpr milliseconds hold_after{30'000};
+/// The rest of an unmeasured job waits at most this long for the measurement of
+/// its first task, which takes the settling time, the lag and two lists.
+inline constexpr milliseconds measurement_wait{30'000};
 /// A task fails with this many failed attempts; fewer may be the fault of
 /// their workers.
 inline constexpr std::size_t max_failures = 3;
@@ -97,6 +100,8 @@
   model::epoch epoch = 0;
   std::optional<time_point> sent_at;
   std::optional<time_point> running_since;
+  /// When it began to run without a throttle, under which it uses less.
+  std::optional<time_point> unthrottled_since;
   /// Tries to move it to the current lease.
   int adopt_tries = 0;
   int throttle = 100;
--- a/packages/control/src/shard_machine_place.cc
+++ b/packages/control/src/shard_machine_place.cc
@@ -167,7 +167,10 @@
   task.job_class = job.job_class;
   task.urgent = job.urgent;
   task.declared = job.declared;
-  task.size = usage.expected(job.job_class, job.declared, now);
+  task.size = usage.expected(fold().find_job(number)->job.id, job.job_class,
+                             job.declared, now);
+  if (awaits_measurement(number, job, task))
+    return false;
   task.avoid = workers_to_avoid(key, job.urgent);
   task.spread = spread[number];
   const auto team = policy.teams.find(job.team);
@@ -205,6 +208,27 @@
   return true;
 }
 
+/// A job of unknown size that is expected to be larger than declared starts one
+/// task first, so that the others reserve what the job uses and not what the
+/// worst jobs of its class use. Reservations are not lowered later.
+bool shard_machine::impl::awaits_measurement(
+    records::job_number number, const job_track& job,
+    const scheduling::placement_task& task) const {
+  if (task.urgent || task.size == task.declared)
+    return false;
+  const auto& known = *fold().find_job(number);
+  // Tasks that finish before they are measured would otherwise run one by one.
+  if (known.finished > 0 || usage.measured(known.job.id, job.job_class, now))
+    return false;
+  const auto first = attempts.lower_bound({number, 0});
+  if (first == attempts.end() || first->first.first != number)
+    return false;
+  for (auto it = first; it != attempts.end() && it->first.first == number; ++it)
+    if (it->second.sent_at && now - *it->second.sent_at >= measurement_wait)
+      return false;
+  return true;
+}
+
 std::set<model::worker_id> shard_machine::impl::workers_to_avoid(
     const task_key& key, bool urgent) const {
   std::set<model::worker_id> avoid;
--- a/packages/control/src/shard_machine_report.cc
+++ b/packages/control/src/shard_machine_report.cc
@@ -94,6 +94,7 @@
   if (entry.stage == attempt_stage::sent) {
     entry.stage = attempt_stage::running;
     entry.running_since = now;
+    entry.unthrottled_since = now;
   }
   if (report.lease == worker.current) {
     entry.leases = {report.lease};
@@ -119,6 +120,8 @@
   if (report.state != task_state::failed) {
     probation.succeeded(worker.info.id, id);
     const bool finished = report.state == task_state::finished;
+    if (const auto* const job = fold().find_job(key.first); finished && job)
+      usage.finished(job->job.id, entry.job_class);
     if (finished && entry.running_since) {
       const auto run =
           std::chrono::duration_cast<milliseconds>(now - *entry.running_since);
@@ -198,6 +201,20 @@
   learn_slowdowns(worker, report, running);
 }
 
+void shard_machine::impl::learn_usage(const task_key& key, const attempt& entry,
+                                      const platform::usage_report& measured) {
+  const auto* const job = fold().find_job(key.first);
+  if (job == nullptr)
+    return;
+  milliseconds ran_for{0};
+  if (entry.unthrottled_since)
+    ran_for = std::chrono::duration_cast<milliseconds>(
+        now - measured.age - *entry.unthrottled_since);
+  usage.observe({job->job.id, entry.job_class, entry.declared, measured.used,
+                 measured.age, ran_for},
+                now);
+}
+
 void shard_machine::impl::learn_slowdowns(
     worker_entry& worker, const platform::worker_report& report,
     const scheduling::class_counts& running) {
@@ -212,8 +229,7 @@
     const attempt* const entry = key ? find_attempt(*key) : nullptr;
     if (task.state != task_state::running || entry == nullptr)
       continue;
-    usage.observe(entry->job_class, entry->declared, task.usage.used,
-                  task.usage.age, now);
+    learn_usage(*key, *entry, task.usage);
     if (!comparable(task.usage))
       continue;
     auto others = running;
@@ -296,6 +312,8 @@
         entry.throttle == percent)
       continue;
     entry.throttle = percent;
+    entry.unthrottled_since =
+        percent == 100 ? std::optional(now) : std::nullopt;
     const auto call =
         new_call({call_kind::throttle, worker.info.id, {}, key, entry.number});
     out.emplace_back(actions::throttle_task{call, worker.info.id,
--- a/packages/control/test/shard_machine_test.cc
+++ b/packages/control/test/shard_machine_test.cc
@@ -275,6 +275,87 @@
   CHECK(sim.run_until(seconds(60), [&] { return ended(sim, "a"); }));
 }
 
+namespace {
+
+/// One worker that has run a job which used three times its declared memory.
+struct after_job_that_declared_too_little : settled {
+  after_job_that_declared_too_little() : settled(1, 1) {
+    workers["w0"].job_usage_percent["s03-low"] = 300;
+    submit("low", 1, 15'000, {500, 500, 0});
+    REQUIRE(run_until(seconds(30), [this] { return ended(*this, "low"); }));
+  }
+};
+
+}  // namespace
+
+// Guards against a job whose tasks all reserve what another job of their class
+// used, and against tasks that reserve so because they start unmeasured.
+TEST_CASE("a job starts one task, then the rest at the size of its own tasks",
+          "[shard_machine]") {
+  after_job_that_declared_too_little sim;
+  sim.submit("a", 12, 60'000, {500, 1'000, 0});
+  for (int i = 0; i < 9; ++i) {
+    sim.run_for(seconds(1));
+    CHECK(sim.running("w0") <= 1);
+  }
+  CHECK(sim.run_until(seconds(10), [&] { return sim.running("w0") >= 5; }));
+  CHECK(sim.at(0).counts["evictions/overcommitted"] == 0);
+  CHECK(sim.run_until(seconds(300), [&] { return ended(sim, "a"); }));
+  CHECK(sim.violations.empty());
+}
+
+// Guards against a measured job that is given more than the worker holds.
+TEST_CASE("a job that uses more than its class reserves what it uses",
+          "[shard_machine]") {
+  after_job_that_declared_too_little sim;
+  sim.workers["w0"].job_usage_percent["s03-a"] = 250;
+  sim.submit("a", 8, 20'000, {500, 1'000, 0});
+  const bool done = sim.run_until(seconds(300), [&] {
+    std::int64_t used = 0;
+    for (const auto& [id, task] : sim.workers["w0"].runs)
+      if (task.state == platform::task_state::running)
+        used += sim.workers["w0"].use_of(task).memory_mib;
+    CHECK(used <= 8'000);
+    return ended(sim, "a");
+  });
+  CHECK(done);
+  CHECK(sim.at(0).counts["evictions/overcommitted"] == 0);
+}
+
+// Guards against a job that never runs more than one task because its worker
+// reports no usage.
+TEST_CASE("a job waits for its measurement for 30 s at most",
+          "[shard_machine]") {
+  after_job_that_declared_too_little sim;
+  sim.workers["w0"].measures_usage = false;
+  sim.submit("a", 2, 90'000, {500, 1'000, 0});
+  sim.run_for(seconds(25));
+  CHECK(sim.running("w0") == 1);
+  CHECK(sim.run_until(seconds(10), [&] { return sim.running("w0") == 2; }));
+}
+
+// Guards against tasks that run one by one because each ends before it is
+// measured.
+TEST_CASE("the rest of a job starts when its first task has finished",
+          "[shard_machine]") {
+  after_job_that_declared_too_little sim;
+  sim.workers["w0"].measures_usage = GENERATE(true, false);
+  sim.submit("a", 5, 4'000, {500, 1'000, 0});
+  CHECK(sim.run_until(seconds(8), [&] { return sim.running("w0") >= 2; }));
+  CHECK(sim.run_until(seconds(20), [&] { return ended(sim, "a"); }));
+}
+
+// Guards against urgent work that waits longer than 1.9 s for a measurement.
+TEST_CASE("urgent tasks do not wait for a measurement", "[shard_machine]") {
+  after_job_that_declared_too_little sim;
+  sim.policy.class_kinds["sync"] = class_kind::urgent;
+  sim.set_policy(sim.policy);
+  const auto before = sim.starts();
+  sim.submit("u", 2, 60'000, {500, 1'000, 0});
+  CHECK(sim.run_until(milliseconds(1'900),
+                      [&] { return sim.starts() == before + 2; }));
+}
+
 TEST_CASE("interference is answered by a throttle before an eviction",
           "[shard_machine]") {
   settled sim(1, 1);
