--- a/apps/vanillaladderd/src/main.cc
+++ b/apps/vanillaladderd/src/main.cc
@@ -16,6 +16,7 @@
 #include "runtime/metrics.h"
 #include "runtime/settings.h"
 #include "runtime/supervisor.h"
+#include "schedule.h"
 
 namespace vanillaladder::daemon {
 namespace {
@@ -25,11 +26,15 @@
 Usage:
   vanillaladderd --settings FILE
   vanillaladderd --settings FILE --check
+  vanillaladderd schedule [--settings FILE] [--check]
   vanillaladderd (-h | --help)
   vanillaladderd --version
 
+`schedule` runs batch jobs through the platform's store.
+
 Options:
-  --settings FILE  Settings in TOML.
+  --settings FILE  Settings in TOML; `schedule` looks in the file that the
+                   variable VANILLALADDER_SETTINGS names if none is given.
   --check          Only check the settings.
   -h --help        Show this text.
   --version        Show the version.
@@ -141,8 +146,26 @@
   return 0;
 }
 
+int schedule(std::string path, bool only_check) {
+  if (path.empty()) {
+    const char* named = std::getenv("VANILLALADDER_SETTINGS");
+    path = named == nullptr ? "" : named;
+  }
+  auto settings = dispatch::load_settings(path);
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << "\n";
+    return exit_invalid;
+  }
+  return only_check ? 0 : run_schedule(*settings);
+}
+
 int run_command_line(const std::vector<std::string>& words) {
   auto arguments = docopt::docopt(usage, words, true, "vanillaladderd 0.1.0");
+  if (arguments["schedule"].asBool()) {
+    const auto& file = arguments["--settings"];
+    return schedule(file ? file.asString() : "",
+                    arguments["--check"].asBool());
+  }
   auto settings = runtime::load_settings(arguments["--settings"].asString());
   if (!settings.ok()) {
     std::cerr << settings.status().message() << "\n";
--- /dev/null
+++ b/apps/vanillaladderd/src/schedule.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "dispatch/settings.h"
+
+namespace vanillaladder::daemon {
+
+/// Runs the daemon that schedules jobs through the platform's store until it
+/// is told to stop.
+/// @return the exit code.
+int run_schedule(const dispatch::daemon_settings& settings);
+
+}  // namespace vanillaladder::daemon
--- a/bench/batch/worker.cc
+++ b/bench/batch/worker.cc
@@ -6,7 +6,7 @@
 namespace vanillaladder::bench {
 namespace {
 
-using platform::task_state;
+using external::task_state;
 
 /// Age of the measurements that a worker reports.
 constexpr milliseconds usage_lag{5'000};
@@ -74,7 +74,7 @@
   return updated_ + milliseconds(std::llround(std::ceil(*left)));
 }
 
-bool worker::start(const platform::task_start& task, const task_need& need,
+bool worker::start(const external::task_start& task, const task_need& need,
                    time_point now) {
   const auto lease = leases.find(task.lease);
   if (lease == leases.end() || lease->second <= now)
@@ -162,14 +162,14 @@
   }
 }
 
-platform::worker_report worker::report(time_point now) const {
-  platform::worker_report out;
+external::worker_report worker::report(time_point now) const {
+  external::worker_report out;
   for (const auto& [id, expires] : leases)
     out.leases.push_back({id, {}, milliseconds(0)});
   const bool settled = now - changed_ >= usage_lag;
   out.usage.age = usage_lag;
   for (const auto& [id, task] : runs) {
-    platform::usage_report usage;
+    external::usage_report usage;
     usage.age = usage_lag;
     if (now - task.since >= usage_lag) {
       usage.used = use_of(task);
--- a/bench/batch/worker.h
+++ b/bench/batch/worker.h
@@ -34,8 +34,8 @@
 class worker {
  public:
   struct run {
-    platform::task_start start;
-    platform::task_state state = platform::task_state::running;
+    external::task_start start;
+    external::task_state state = external::task_state::running;
     task_need need;
     time_point since;
     double done_ms = 0;
@@ -69,13 +69,13 @@
   [[nodiscard]] std::optional<time_point> next_end() const;
 
   /// @return whether the lease allowed the start.
-  bool start(const platform::task_start& task, const task_need& need,
+  bool start(const external::task_start& task, const task_need& need,
              time_point now);
   bool stop(const control::attempt_id& id, time_point now);
   bool throttle(const control::attempt_id& id, int percent, time_point now);
   run* running(const control::attempt_id& id);
   [[nodiscard]] std::size_t running_count() const;
-  [[nodiscard]] platform::worker_report report(time_point now) const;
+  [[nodiscard]] external::worker_report report(time_point now) const;
 
  private:
   void tasks_changed(time_point now);
--- /dev/null
+++ b/packages/batch/include/batch/job_records.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "batch/job.h"
+
+/// Keys and values of the records that keep jobs in the store.
+namespace vanillaladder::batch {
+
+/// Topic of jobs, cancellations and states.
+inline constexpr std::string_view jobs_topic = "keyed.jobs";
+/// Topic of the progress of steps; written and read by the leader.
+inline constexpr std::string_view progress_topic = "keyed.progress";
+
+enum class record_kind { job, cancellation, state };
+
+/// Key of a record in the topic of jobs.
+struct job_record_key {
+  record_kind kind = record_kind::job;
+  model::job_id job;
+
+  bool operator==(const job_record_key&) const = default;
+};
+
+std::string to_string(const job_record_key& key);
+std::optional<job_record_key> parse_job_record_key(std::string_view text);
+
+/// State of a job as every daemon shows it.
+struct job_status {
+  job_state state = job_state::queued;
+  unix_ms since = 0;
+  std::string queue;
+
+  bool operator==(const job_status&) const = default;
+};
+
+/// A run that may still exist on a worker.
+struct run_record {
+  int number = 0;
+  model::worker_id worker;
+  /// Start of the worker's life, which tells it from a later one.
+  unix_ms life = 0;
+
+  bool operator==(const run_record&) const = default;
+};
+
+/// What is kept of a task that has been started.
+struct task_record {
+  int index = 0;
+  bool done = false;
+  int last_run = 0;
+  int failures = 0;
+  std::string checkpoint;
+  std::vector<run_record> runs;
+
+  bool operator==(const task_record&) const = default;
+};
+
+std::string to_string(const step_key& key);
+std::optional<step_key> parse_step_key(std::string_view text);
+
+std::string encode(const job_spec& spec);
+std::string encode(const job_status& status);
+std::string encode(const std::vector<task_record>& tasks);
+
+/// @return `DataLoss` if the value can't be read, as for the others.
+absl::StatusOr<job_spec> decode_job(const model::job_id& id,
+                                    std::string_view value);
+absl::StatusOr<job_status> decode_status(std::string_view value);
+absl::StatusOr<std::vector<task_record>> decode_tasks(std::string_view value);
+
+}  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/include/batch/scheduler.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "batch/decision_log.h"
+#include "batch/job.h"
+#include "batch/job_records.h"
+#include "batch/orders.h"
+#include "batch/worker.h"
+
+namespace vanillaladder::batch {
+
+namespace detail {
+struct job_state_entry;
+struct occurrence_state;
+struct run_ref;
+struct run_state;
+struct step_state;
+struct task_state;
+struct worker_state;
+}  // namespace detail
+
+struct scheduler_options {
+  /// Longest lease that a worker grants.
+  milliseconds longest_lease{6000};
+  /// Time after which every order of an earlier leader to a worker that has
+  /// not been reached has lost its lease, counted from the takeover.
+  milliseconds earlier_leases{10000};
+  /// How long the state of an ended job is kept.
+  milliseconds state_retention{300000};
+  /// How much before its time an occurrence may start.
+  milliseconds early{100};
+};
+
+/// The decisions of the leader.
+///
+/// Does no I/O and reads no clock. The caller stores each `commit` and then
+/// sends its orders; orders of `take_orders` need no record and can be sent
+/// at once. Times must not go back.
+class scheduler {
+ public:
+  scheduler(const scheduler_options& options, time_point takeover,
+            decision_log log);
+  ~scheduler();
+  scheduler(const scheduler&) = delete;
+  scheduler& operator=(const scheduler&) = delete;
+
+  /// Sets the queues; jobs of others keep the policy of their acceptance.
+  void set_queues(const std::map<std::string, queue_policy>& queues);
+  /// Sets the failure domains that get no new work.
+  void set_closed_domains(std::vector<model::domain_id> domains);
+
+  /// Adds a job that has not ended; a known one is left as it is.
+  /// @param wall the wall clock, for the age of the job.
+  void add_job(std::shared_ptr<const job_spec> spec, time_point now,
+               unix_ms wall);
+  void cancel_job(const model::job_id& id, time_point now);
+  /// Ends a job whose end an earlier leader has stored; its runs are stopped.
+  void end_job(const model::job_id& id, job_state state, time_point now);
+  /// Takes over what an earlier leader stored of a step; only before the
+  /// first report.
+  /// @return false if there is no such step.
+  bool restore(const step_key& key, const std::vector<task_record>& tasks,
+               time_point now);
+  /// Removes the progress of a job that is not known any more.
+  void drop_progress(const step_key& key);
+  /// Removes the record of a job that came again after its end.
+  void drop_repeated(const model::job_id& id);
+  /// Removes the stored state of a job that ended long ago.
+  void drop_state(const model::job_id& id);
+
+  void update_worker(const worker_entry& entry, time_point now);
+  /// The worker has left the list; its runs may go on until their lease ends.
+  void remove_worker(const model::worker_id& id);
+  void on_report(const model::worker_id& id, const worker_report& report);
+  void on_unreachable(const model::worker_id& id, time_point now);
+  /// Notes that a lease until `deadline` on the worker's clock was ordered.
+  void on_lease(const model::worker_id& id, milliseconds deadline);
+  void on_start_result(const model::worker_id& id, const task_key& task,
+                       int run, start_outcome outcome, time_point now);
+  void on_stop_answered(const model::worker_id& id, const task_key& task,
+                        int run, time_point now);
+
+  /// Decides what starts; the result must be stored, and reported with
+  /// `committed`, before the next call.
+  commit plan(time_point now, unix_ms wall);
+  void committed();
+  /// @return orders that need no record.
+  std::vector<order> take_orders();
+
+  /// @return the number of the last end of the worker that is stored; the
+  ///   worker may forget it and those before.
+  std::int64_t stored_end(const model::worker_id& id) const;
+  /// @return whether the worker may have runs, or could get some.
+  bool wants_contact(const model::worker_id& id) const;
+  /// @return whether something changed that `plan` should see.
+  bool has_news() const { return news_; }
+  /// @return the worker's lease as far as it is known.
+  const class lease_bound* lease_of(const model::worker_id& id) const;
+  /// @return whether a task there needs frequent reports.
+  bool is_sensitive(const model::worker_id& id) const;
+
+  std::size_t jobs() const { return jobs_.size(); }
+  std::size_t waiting_tasks() const;
+
+ private:
+  using job_entry = detail::job_state_entry;
+  using worker_state = detail::worker_state;
+  using step_state = detail::step_state;
+  using task_state = detail::task_state;
+  using run_state = detail::run_state;
+
+  // Jobs.
+  job_entry* find_job(std::string_view id);
+  step_state* find_step(const step_key& key);
+  void open_occurrence(job_entry& job, int number);
+  void open_due_occurrences(time_point now, unix_ms wall);
+  void close_occurrences(job_entry& job);
+  bool is_ready(const step_state& step) const;
+  void set_state(job_entry& job, job_state state);
+  void stop_all_runs(job_entry& job, time_point now);
+  void purge_ended(commit& out);
+
+  // Runs.
+  void add_run(step_state& step, int index, worker_state& worker, int number,
+               time_point now);
+  void remove_run(step_state& step, int index, int number);
+  void end_run(step_state& step, int index, int number, end_reason reason,
+               std::string_view checkpoint, time_point now);
+  void fail_task(step_state& step, int index, const worker_state& worker);
+  void order_stop(step_state& step, int index, run_state& run,
+                  std::string_view why, time_point now);
+  void lose_runs(worker_state& worker, std::string_view why, time_point now);
+  void expire_leases(time_point now);
+
+  // Workers.
+  worker_state* find_worker(std::string_view id);
+  const worker_state* find_worker(std::string_view id) const;
+  void apply_end(worker_state& worker, const reported_end& end,
+                 time_point now);
+  void apply_running(worker_state& worker, const worker_report& report);
+  void update_pace(worker_state& worker, time_point now);
+  void leave_worker(worker_state& worker, time_point now);
+
+  // Placement.
+  struct ranked_step;
+  std::vector<ranked_step> rank_steps(time_point now);
+  void place(time_point now, std::vector<order>& orders);
+  void place_step(step_state& step, time_point now,
+                  std::vector<order>& orders);
+  bool place_gang(step_state& step, time_point now,
+                  std::vector<order>& orders);
+  worker_state* choose_worker(const step_state& step, const task_state& task,
+                              time_point now, std::string_view rack);
+  bool may_take(const worker_state& worker, const step_state& step,
+                const task_state& task, time_point now) const;
+  double cost_of(const worker_state& worker, const step_state& step,
+                 const task_state& task) const;
+  void start(step_state& step, int index, worker_state& worker, int number,
+             time_point now, std::vector<order>& orders);
+
+  void note(std::string line) const;
+
+  scheduler_options options_;
+  time_point takeover_;
+  decision_log log_;
+  std::map<std::string, queue_policy> queues_;
+  std::vector<model::domain_id> closed_domains_;
+  absl::flat_hash_map<std::string, std::unique_ptr<job_entry>> jobs_;
+  absl::flat_hash_map<std::string, std::unique_ptr<worker_state>> workers_;
+  std::vector<order> orders_;
+  std::vector<topic_record> removals_;
+  std::vector<topic_record> progress_removals_;
+  bool news_ = true;
+};
+
+}  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/src/job.cc
@@ -0,0 +1,67 @@
+#include "batch/job.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace vanillaladder::batch {
+
+std::string_view name_of(job_state state) {
+  switch (state) {
+    case job_state::queued:
+      return "queued";
+    case job_state::running:
+      return "running";
+    case job_state::completed:
+      return "completed";
+    case job_state::failed:
+      return "failed";
+    case job_state::cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+std::string to_string(const task_key& key) {
+  return absl::StrCat(key.step.job, ".", key.step.occurrence, ".",
+                      key.step.step, ".", key.index);
+}
+
+std::optional<task_key> parse_task_key(std::string_view text) {
+  std::vector<std::string> parts =
+      absl::StrSplit(absl::string_view(text.data(), text.size()), '.');
+  task_key key;
+  if (parts.size() != 4 || parts[0].empty() ||
+      !absl::SimpleAtoi(parts[1], &key.step.occurrence) ||
+      !absl::SimpleAtoi(parts[2], &key.step.step) ||
+      !absl::SimpleAtoi(parts[3], &key.index)) {
+    return std::nullopt;
+  }
+  key.step.job = std::move(parts[0]);
+  return key;
+}
+
+std::string find_problem(const job_spec& spec) {
+  if (spec.steps.empty()) {
+    return "a job needs a step";
+  }
+  for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+    const auto& step = spec.steps[n];
+    if (step.count < 1) {
+      return absl::StrCat("step ", n, " has no tasks");
+    }
+    if (step.need.cpu_millis < 0 || step.need.memory_mib < 0 ||
+        step.need.accelerators < 0) {
+      return absl::StrCat("step ", n, " needs less than nothing");
+    }
+    for (int earlier : step.after) {
+      if (earlier < 0 || earlier >= static_cast<int>(n)) {
+        return absl::StrCat("step ", n, " waits for step ", earlier,
+                            ", which is not earlier");
+      }
+    }
+  }
+  return {};
+}
+
+}  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/src/job_directory.cc
@@ -0,0 +1,123 @@
+#include "batch/job_directory.h"
+
+namespace vanillaladder::batch {
+
+job_state job_directory::entry::shown_state() const {
+  if (cancelled && status.state != job_state::completed &&
+      status.state != job_state::failed) {
+    return job_state::cancelled;
+  }
+  return status.state;
+}
+
+job_directory::change job_directory::apply(std::string_view key,
+                                           std::string_view value) {
+  auto parsed = parse_job_record_key(key);
+  if (!parsed) {
+    return change::unreadable;
+  }
+  const auto& id = parsed->job;
+  if (value.empty()) {
+    remove(parsed->kind, id);
+    return change::none;
+  }
+  switch (parsed->kind) {
+    case record_kind::job:
+      return add_job(id, value);
+    case record_kind::cancellation:
+      return cancel(id);
+    case record_kind::state:
+      return set_status(id, value);
+  }
+  return change::unreadable;
+}
+
+void job_directory::remove(record_kind kind, const model::job_id& id) {
+  auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  if (kind == record_kind::state) {
+    count(found->second, -1);
+    entries_.erase(found);
+  } else if (kind == record_kind::job) {
+    count(found->second, -1);
+    found->second.spec.reset();
+  }
+}
+
+job_directory::change job_directory::add_job(const model::job_id& id,
+                                             std::string_view value) {
+  if (auto found = entries_.find(id);
+      found != entries_.end() && found->second.spec != nullptr) {
+    return change::none;
+  }
+  auto spec = decode_job(id, value);
+  if (!spec.ok()) {
+    return change::unreadable;
+  }
+  auto& job = entries_[id];
+  job.status.queue = spec->queue;
+  job.spec = std::make_shared<const job_spec>(std::move(*spec));
+  count(job, 1);
+  return has_ended(job.status.state) ? change::job_repeated
+                                     : change::job_added;
+}
+
+job_directory::change job_directory::cancel(const model::job_id& id) {
+  auto& job = entries_[id];
+  if (job.cancelled || has_ended(job.status.state)) {
+    return change::none;
+  }
+  count(job, -1);
+  job.cancelled = true;
+  count(job, 1);
+  return change::job_cancelled;
+}
+
+job_directory::change job_directory::set_status(const model::job_id& id,
+                                                std::string_view value) {
+  auto status = decode_status(value);
+  if (!status.ok()) {
+    return change::unreadable;
+  }
+  auto& job = entries_[id];
+  if (has_ended(job.status.state) || job.status.state == status->state) {
+    return change::none;
+  }
+  count(job, -1);
+  job.status = std::move(*status);
+  count(job, 1);
+  return change::state_changed;
+}
+
+bool job_directory::is_pending(const entry& counted) {
+  return counted.spec != nullptr && counted.spec->repeat_count == 0 &&
+         counted.shown_state() == job_state::queued;
+}
+
+void job_directory::count(const entry& counted, int by) {
+  if (is_pending(counted)) {
+    pending_[counted.status.queue] += by;
+  }
+}
+
+const job_directory::entry* job_directory::find(std::string_view id) const {
+  auto found = entries_.find(absl::string_view(id.data(), id.size()));
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+int job_directory::pending(std::string_view queue) const {
+  auto found = pending_.find(absl::string_view(queue.data(), queue.size()));
+  return found == pending_.end() ? 0 : found->second;
+}
+
+void job_directory::for_each(
+    const std::function<void(const model::job_id&, const entry&)>& visit)
+    const {
+  for (const auto& [id, each] : entries_) {
+    visit(id, each);
+  }
+}
+
+}  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/src/job_records.cc
@@ -0,0 +1,240 @@
+#include "batch/job_records.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+#include "batch_records_types.h"
+
+namespace vanillaladder::batch {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+template <class Record>
+std::string write_record(const Record& record) {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(buffer);
+  record.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+template <class Record>
+absl::StatusOr<Record> read_record(std::string_view value,
+                                   std::string_view what) {
+  Record record;
+  try {
+    std::string bytes(value);
+    auto buffer = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<std::uint8_t*>(bytes.data()),
+        static_cast<std::uint32_t>(bytes.size()));
+    auto limit = static_cast<std::int32_t>(bytes.size());
+    TCompactProtocol protocol(buffer, limit, limit);
+    record.read(&protocol);
+  } catch (const std::exception& error) {
+    return absl::DataLossError(
+        absl::StrCat("decode ", std::string(what), ": ", error.what()));
+  }
+  return record;
+}
+
+wire::step to_wire(const step_spec& step) {
+  wire::step out;
+  out.count = step.count;
+  out.cpu_millis = step.need.cpu_millis;
+  out.memory_mib = step.need.memory_mib;
+  out.accelerators = step.need.accelerators;
+  out.estimate_ms = step.estimate.count();
+  out.after.assign(step.after.begin(), step.after.end());
+  out.checkpoints = step.checkpoints;
+  out.gang = step.gang;
+  out.same_rack = step.same_rack;
+  out.speculative = step.speculative;
+  out.lasting = step.lasting;
+  out.fills = step.fills;
+  out.required_label = step.required_label;
+  out.data_rack = step.data_rack;
+  out.image = step.image;
+  out.per_worker_limit = step.per_worker_limit;
+  out.max_away = step.max_away;
+  out.target_ms = step.target.count();
+  return out;
+}
+
+step_spec from_wire(wire::step&& in) {
+  step_spec step;
+  step.count = in.count;
+  step.need = {in.cpu_millis, in.memory_mib, in.accelerators};
+  step.estimate = milliseconds(in.estimate_ms);
+  step.after.assign(in.after.begin(), in.after.end());
+  step.checkpoints = in.checkpoints;
+  step.gang = in.gang;
+  step.same_rack = in.same_rack;
+  step.speculative = in.speculative;
+  step.lasting = in.lasting;
+  step.fills = in.fills;
+  step.required_label = std::move(in.required_label);
+  step.data_rack = std::move(in.data_rack);
+  step.image = std::move(in.image);
+  step.per_worker_limit = in.per_worker_limit;
+  step.max_away = in.max_away;
+  step.target = milliseconds(in.target_ms);
+  return step;
+}
+
+char letter_of(record_kind kind) {
+  switch (kind) {
+    case record_kind::job:
+      return 'j';
+    case record_kind::cancellation:
+      return 'c';
+    case record_kind::state:
+      return 's';
+  }
+  return '?';
+}
+
+}  // namespace
+
+std::string to_string(const job_record_key& key) {
+  std::string text = key.job;
+  text.insert(0, 1, '/');
+  text.insert(0, 1, letter_of(key.kind));
+  return text;
+}
+
+std::optional<job_record_key> parse_job_record_key(std::string_view text) {
+  if (text.size() < 3 || text[1] != '/') {
+    return std::nullopt;
+  }
+  for (auto kind :
+       {record_kind::job, record_kind::cancellation, record_kind::state}) {
+    if (text[0] == letter_of(kind)) {
+      return job_record_key{kind, std::string(text.substr(2))};
+    }
+  }
+  return std::nullopt;
+}
+
+std::string to_string(const step_key& key) {
+  return absl::StrCat(key.job, "/", key.occurrence, "/", key.step);
+}
+
+std::optional<step_key> parse_step_key(std::string_view text) {
+  std::vector<std::string> parts =
+      absl::StrSplit(absl::string_view(text.data(), text.size()), '/');
+  step_key key;
+  if (parts.size() != 3 || parts[0].empty() ||
+      !absl::SimpleAtoi(parts[1], &key.occurrence) ||
+      !absl::SimpleAtoi(parts[2], &key.step)) {
+    return std::nullopt;
+  }
+  key.job = std::move(parts[0]);
+  return key;
+}
+
+std::string encode(const job_spec& spec) {
+  wire::job out;
+  out.queue = spec.queue;
+  out.payload = spec.payload;
+  for (const auto& step : spec.steps) {
+    out.steps.push_back(to_wire(step));
+  }
+  out.repeat_count = spec.repeat_count;
+  out.first_run_unix_ms = spec.first_run;
+  out.interval_ms = spec.interval.count();
+  out.accepted_unix_ms = spec.accepted;
+  out.policy.service_name = spec.policy.service;
+  out.policy.priority = spec.policy.priority;
+  out.policy.max_attempts = spec.policy.max_attempts;
+  out.policy.stretch = spec.policy.stretch;
+  out.policy.target_latency_ms = spec.policy.target_latency.count();
+  return write_record(out);
+}
+
+absl::StatusOr<job_spec> decode_job(const model::job_id& id,
+                                    std::string_view value) {
+  auto in = read_record<wire::job>(value, "job");
+  if (!in.ok()) {
+    return in.status();
+  }
+  job_spec spec;
+  spec.id = id;
+  spec.queue = std::move(in->queue);
+  spec.payload = std::move(in->payload);
+  for (auto& step : in->steps) {
+    spec.steps.push_back(from_wire(std::move(step)));
+  }
+  spec.repeat_count = in->repeat_count;
+  spec.first_run = in->first_run_unix_ms;
+  spec.interval = milliseconds(in->interval_ms);
+  spec.accepted = in->accepted_unix_ms;
+  spec.policy = {std::move(in->policy.service_name), in->policy.priority,
+                 in->policy.max_attempts, in->policy.stretch,
+                 milliseconds(in->policy.target_latency_ms)};
+  return spec;
+}
+
+std::string encode(const job_status& status) {
+  wire::job_state out;
+  out.state = static_cast<std::int32_t>(status.state);
+  out.since_unix_ms = status.since;
+  out.queue = status.queue;
+  return write_record(out);
+}
+
+absl::StatusOr<job_status> decode_status(std::string_view value) {
+  auto in = read_record<wire::job_state>(value, "job state");
+  if (!in.ok()) {
+    return in.status();
+  }
+  if (in->state < 0 ||
+      in->state > static_cast<std::int32_t>(job_state::cancelled)) {
+    return absl::DataLossError("decode job state: unknown state");
+  }
+  return job_status{static_cast<job_state>(in->state), in->since_unix_ms,
+                    std::move(in->queue)};
+}
+
+std::string encode(const std::vector<task_record>& tasks) {
+  wire::step_progress out;
+  for (const auto& task : tasks) {
+    auto& to = out.tasks.emplace_back();
+    to.index = task.index;
+    to.done = task.done;
+    to.last_run = task.last_run;
+    to.failures = task.failures;
+    to.checkpoint = task.checkpoint;
+    for (const auto& run : task.runs) {
+      auto& to_run = to.runs.emplace_back();
+      to_run.number = run.number;
+      to_run.worker = run.worker;
+      to_run.life = run.life;
+    }
+  }
+  return write_record(out);
+}
+
+absl::StatusOr<std::vector<task_record>> decode_tasks(std::string_view value) {
+  auto in = read_record<wire::step_progress>(value, "step progress");
+  if (!in.ok()) {
+    return in.status();
+  }
+  std::vector<task_record> tasks;
+  for (auto& from : in->tasks) {
+    task_record task{from.index,    from.done, from.last_run,
+                     from.failures, std::move(from.checkpoint), {}};
+    for (auto& run : from.runs) {
+      task.runs.push_back({run.number, std::move(run.worker), run.life});
+    }
+    tasks.push_back(std::move(task));
+  }
+  return tasks;
+}
+
+}  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/src/objective.cc
@@ -0,0 +1,29 @@
+#include "batch/objective.h"
+
+#include <algorithm>
+
+namespace vanillaladder::batch {
+
+milliseconds longest_chain(const job_spec& spec) {
+  std::vector<milliseconds> end_of(spec.steps.size(), milliseconds(0));
+  milliseconds longest{0};
+  for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+    milliseconds start{0};
+    for (int earlier : spec.steps[n].after) {
+      start = std::max(start, end_of[static_cast<std::size_t>(earlier)]);
+    }
+    end_of[n] = start + spec.steps[n].estimate;
+    longest = std::max(longest, end_of[n]);
+  }
+  return longest;
+}
+
+objective objective_of(const queue_policy& policy, milliseconds chain,
+                       time_point arrival) {
+  auto stretched = static_cast<std::int64_t>(
+      policy.stretch * static_cast<double>(chain.count()));
+  auto span = milliseconds(stretched) + policy.target_latency;
+  return {arrival + span, arrival + objective::late_factor * span};
+}
+
+}  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/src/scheduler.cc
@@ -0,0 +1,510 @@
+#include "batch/scheduler.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "batch/detail/scheduler_state.h"
+
+namespace vanillaladder::batch {
+
+using detail::occurrence_state;
+using detail::run_phase;
+
+namespace detail {
+
+run_state* task_state::find_run(int number) {
+  auto found = std::ranges::find(runs, number, &run_state::number);
+  return found == runs.end() ? nullptr : &*found;
+}
+
+bool occurrence_state::complete() const {
+  return std::ranges::all_of(steps, &step_state::complete);
+}
+
+bool job_state_entry::has_runs() const {
+  return std::ranges::any_of(occurrences, [](const auto& occurrence) {
+    return std::ranges::any_of(occurrence.steps, [](const auto& step) {
+      return std::ranges::any_of(
+          step.tasks, [](const auto& task) { return !task.runs.empty(); });
+    });
+  });
+}
+
+}  // namespace detail
+
+scheduler::scheduler(const scheduler_options& options, time_point takeover,
+                     decision_log log)
+    : options_(options), takeover_(takeover), log_(std::move(log)) {}
+
+scheduler::~scheduler() = default;
+
+void scheduler::note(std::string line) const {
+  if (log_) {
+    log_(std::move(line));
+  }
+}
+
+void scheduler::set_queues(const std::map<std::string, queue_policy>& queues) {
+  queues_ = queues;
+  for (auto& [id, job] : jobs_) {
+    if (auto found = queues_.find(job->spec->queue); found != queues_.end()) {
+      job->policy = found->second;
+    }
+  }
+  news_ = true;
+}
+
+void scheduler::set_closed_domains(std::vector<model::domain_id> domains) {
+  closed_domains_ = std::move(domains);
+  news_ = true;
+}
+
+scheduler::job_entry* scheduler::find_job(std::string_view id) {
+  auto found = jobs_.find(absl::string_view(id.data(), id.size()));
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+scheduler::step_state* scheduler::find_step(const step_key& key) {
+  auto* job = find_job(key.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  for (auto& occurrence : job->occurrences) {
+    if (occurrence.number == key.occurrence && key.step >= 0 &&
+        key.step < static_cast<int>(occurrence.steps.size())) {
+      return &occurrence.steps[static_cast<std::size_t>(key.step)];
+    }
+  }
+  return nullptr;
+}
+
+void scheduler::add_job(std::shared_ptr<const job_spec> spec, time_point now,
+                        unix_ms wall) {
+  if (jobs_.contains(spec->id)) {
+    return;
+  }
+  auto job = std::make_unique<job_entry>();
+  job->spec = spec;
+  auto queue = queues_.find(spec->queue);
+  job->policy = queue == queues_.end() ? spec->policy : queue->second;
+  auto age = milliseconds(std::max<unix_ms>(0, wall - spec->accepted));
+  job->arrival = now - age;
+  job->due = objective_of(job->policy, longest_chain(*spec), job->arrival);
+  if (spec->repeat_count == 0) {
+    open_occurrence(*job, 0);
+  }
+  jobs_.emplace(spec->id, std::move(job));
+  news_ = true;
+}
+
+void scheduler::open_occurrence(job_entry& job, int number) {
+  auto& occurrence = job.occurrences.emplace_back();
+  occurrence.number = number;
+  occurrence.steps.resize(job.spec->steps.size());
+  for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
+    auto& step = occurrence.steps[n];
+    step.job = &job;
+    step.spec = &job.spec->steps[n];
+    step.key = {job.spec->id, number, static_cast<int>(n)};
+    step.tasks.resize(static_cast<std::size_t>(step.spec->count));
+    step.waiting = step.spec->count;
+  }
+  job.occurrences_opened = std::max(job.occurrences_opened, number + 1);
+}
+
+void scheduler::open_due_occurrences(time_point now, unix_ms wall) {
+  for (auto& [id, job] : jobs_) {
+    const auto& spec = *job->spec;
+    while (!has_ended(job->state) && !job->cancelled &&
+           job->occurrences_opened < spec.repeat_count) {
+      auto due = spec.first_run +
+                 job->occurrences_opened * spec.interval.count();
+      if (wall + options_.early.count() < due) {
+        break;
+      }
+      open_occurrence(*job, job->occurrences_opened);
+      job->due = objective_of(job->policy, longest_chain(spec), now);
+    }
+  }
+}
+
+bool scheduler::is_ready(const step_state& step) const {
+  const auto& job = *step.job;
+  if (job.cancelled || has_ended(job.state) || step.complete()) {
+    return false;
+  }
+  for (const auto& occurrence : job.occurrences) {
+    if (occurrence.number != step.key.occurrence) {
+      continue;
+    }
+    return std::ranges::all_of(step.spec->after, [&](int earlier) {
+      return occurrence.steps[static_cast<std::size_t>(earlier)].complete();
+    });
+  }
+  return false;
+}
+
+void scheduler::set_state(job_entry& job, job_state state) {
+  if (job.state == state || has_ended(job.state)) {
+    return;
+  }
+  note(absl::StrCat("job_state id=", job.spec->id, " from=",
+                    std::string(name_of(job.state)),
+                    " to=", std::string(name_of(state))));
+  job.state = state;
+  job.state_dirty = true;
+  news_ = true;
+}
+
+void scheduler::cancel_job(const model::job_id& id, time_point now) {
+  auto* job = find_job(id);
+  if (job == nullptr || job->cancelled) {
+    return;
+  }
+  job->cancelled = true;
+  stop_all_runs(*job, now);
+  set_state(*job, job_state::cancelled);
+}
+
+void scheduler::end_job(const model::job_id& id, job_state state,
+                        time_point now) {
+  auto* job = find_job(id);
+  if (job == nullptr || has_ended(job->state)) {
+    return;
+  }
+  job->state = state;
+  stop_all_runs(*job, now);
+  news_ = true;
+}
+
+void scheduler::stop_all_runs(job_entry& job, time_point now) {
+  for (auto& occurrence : job.occurrences) {
+    for (auto& step : occurrence.steps) {
+      for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+        for (auto& run : step.tasks[n].runs) {
+          order_stop(step, static_cast<int>(n), run, "job_ended", now);
+        }
+      }
+    }
+  }
+}
+
+bool scheduler::restore(const step_key& key,
+                        const std::vector<task_record>& tasks,
+                        time_point now) {
+  auto* job = find_job(key.job);
+  if (job == nullptr) {
+    return false;
+  }
+  while (job->occurrences_opened <= key.occurrence &&
+         key.occurrence < job->spec->repeat_count) {
+    open_occurrence(*job, job->occurrences_opened);
+  }
+  auto* step = find_step(key);
+  if (step == nullptr) {
+    return false;
+  }
+  for (const auto& record : tasks) {
+    if (record.index < 0 || record.index >= step->spec->count) {
+      return false;
+    }
+    auto& task = step->tasks[static_cast<std::size_t>(record.index)];
+    if (record.last_run > 0 && job->state == job_state::queued) {
+      job->state = job_state::running;
+      job->state_dirty = true;
+    }
+    task.last_run = record.last_run;
+    task.failures = record.failures;
+    task.checkpoint = record.checkpoint;
+    if (record.done) {
+      task.done = true;
+      ++step->done;
+      --step->waiting;
+    }
+    for (const auto& run : record.runs) {
+      auto& worker = workers_[run.worker];
+      if (worker == nullptr) {
+        worker = std::make_unique<worker_state>();
+        worker->entry.info.id = run.worker;
+        worker->lease = lease_bound(takeover_ + options_.earlier_leases);
+      }
+      add_run(*step, record.index, *worker, run.number, now);
+      auto& added = task.runs.back();
+      added.life = run.life;
+      added.phase = run_phase::running;
+      added.answered = takeover_;
+      added.is_answered = true;
+    }
+  }
+  close_occurrences(*job);
+  return true;
+}
+
+void scheduler::drop_progress(const step_key& key) {
+  progress_removals_.push_back({to_string(key), ""});
+  news_ = true;
+}
+
+void scheduler::drop_repeated(const model::job_id& id) {
+  if (jobs_.contains(id)) {
+    return;
+  }
+  removals_.push_back({to_string(job_record_key{record_kind::job, id}), ""});
+  news_ = true;
+}
+
+void scheduler::drop_state(const model::job_id& id) {
+  for (auto kind : {record_kind::cancellation, record_kind::state}) {
+    removals_.push_back({to_string(job_record_key{kind, id}), ""});
+  }
+  news_ = true;
+}
+
+/// Forgets occurrences that are over, and completes the job after the last.
+void scheduler::close_occurrences(job_entry& job) {
+  const auto& spec = *job.spec;
+  if (has_ended(job.state)) {
+    return;
+  }
+  int total = std::max(1, spec.repeat_count);
+  int complete = 0;
+  for (const auto& occurrence : job.occurrences) {
+    complete += occurrence.complete() ? 1 : 0;
+  }
+  if (complete == total) {
+    set_state(job, job_state::completed);
+  }
+}
+
+void scheduler::add_run(step_state& step, int index, worker_state& worker,
+                        int number, time_point now) {
+  auto& task = step.tasks[static_cast<std::size_t>(index)];
+  if (task.waits()) {
+    --step.waiting;
+  }
+  run_state run;
+  run.number = number;
+  run.worker = &worker;
+  run.life = worker.life;
+  run.since = now;
+  task.runs.push_back(run);
+  task.last_run = std::max(task.last_run, number);
+  worker.runs.push_back({&step, index, number});
+  auto need = step.spec->need;
+  if (step.spec->fills) {
+    worker.fill_cpu += need.cpu_millis;
+    need.cpu_millis = 0;
+  }
+  if (step.spec->lasting) {
+    worker.serving_cpu += need.cpu_millis;
+  }
+  worker.reserved += need;
+}
+
+void scheduler::remove_run(step_state& step, int index, int number) {
+  auto& task = step.tasks[static_cast<std::size_t>(index)];
+  auto* run = task.find_run(number);
+  if (run == nullptr) {
+    return;
+  }
+  auto& worker = *run->worker;
+  auto need = step.spec->need;
+  if (step.spec->fills) {
+    worker.fill_cpu -= need.cpu_millis;
+    need.cpu_millis = 0;
+  }
+  if (step.spec->lasting) {
+    worker.serving_cpu -= need.cpu_millis;
+  }
+  worker.reserved -= need;
+  std::erase(worker.runs, detail::run_ref{&step, index, number});
+  std::erase_if(task.runs, [number](const run_state& each) {
+    return each.number == number;
+  });
+  if (task.waits()) {
+    ++step.waiting;
+  }
+  step.dirty = true;
+  news_ = true;
+}
+
+void scheduler::end_run(step_state& step, int index, int number,
+                        end_reason reason, std::string_view checkpoint,
+                        time_point now) {
+  auto& task = step.tasks[static_cast<std::size_t>(index)];
+  auto* run = task.find_run(number);
+  if (run == nullptr) {
+    return;
+  }
+  auto& worker = *run->worker;
+  auto ran = std::chrono::duration_cast<milliseconds>(now - run->since);
+  note(absl::StrCat("run_ended task=", to_string(task_key{step.key, index}),
+                    " run=", number, " worker=", worker.entry.info.id,
+                    " reason=", std::string(name_of(reason)),
+                    " after_ms=", ran.count(), " failures=", task.failures));
+  if (!checkpoint.empty()) {
+    task.checkpoint = std::string(checkpoint);
+  }
+  remove_run(step, index, number);
+  if (reason == end_reason::done && !step.spec->lasting) {
+    worker.trust.on_done();
+    if (!task.done) {
+      if (task.waits()) {
+        --step.waiting;
+      }
+      task.done = true;
+      ++step.done;
+    }
+    for (auto& copy : task.runs) {
+      order_stop(step, index, copy, "copy_done", now);
+    }
+    close_occurrences(*step.job);
+  } else if (reason == end_reason::failed) {
+    worker.trust.on_failed(step.key.job, now);
+    fail_task(step, index, worker);
+    if (has_ended(step.job->state)) {
+      stop_all_runs(*step.job, now);
+    }
+  }
+}
+
+void scheduler::fail_task(step_state& step, int index,
+                          const worker_state& worker) {
+  auto& task = step.tasks[static_cast<std::size_t>(index)];
+  ++task.failures;
+  task.last_failed_on = worker.entry.info.id;
+  auto& job = *step.job;
+  if (!step.spec->lasting && !task.done && job.policy.max_attempts > 0 &&
+      task.failures >= job.policy.max_attempts) {
+    note(absl::StrCat("job_hopeless id=", step.key.job,
+                      " task=", to_string(task_key{step.key, index}),
+                      " failures=", task.failures,
+                      " limit=", job.policy.max_attempts));
+    set_state(job, job_state::failed);
+  }
+}
+
+void scheduler::order_stop(step_state& step, int index, run_state& run,
+                           std::string_view why, time_point now) {
+  if (run.phase == run_phase::stopping) {
+    return;
+  }
+  run.phase = run_phase::stopping;
+  run.is_answered = false;
+  run.since = now;
+  task_key key{step.key, index};
+  note(absl::StrCat("run_stop task=", to_string(key), " run=", run.number,
+                    " worker=", run.worker->entry.info.id,
+                    " why=", std::string(why)));
+  orders_.push_back(
+      stop_order{run.worker->entry.info.id, std::move(key), run.number});
+}
+
+std::vector<order> scheduler::take_orders() {
+  return std::exchange(orders_, {});
+}
+
+namespace {
+
+std::vector<task_record> records_of(const detail::step_state& step) {
+  std::vector<task_record> records;
+  for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+    const auto& task = step.tasks[n];
+    if (task.last_run == 0) {
+      continue;
+    }
+    task_record record;
+    record.index = static_cast<int>(n);
+    record.done = task.done;
+    record.last_run = task.last_run;
+    record.failures = task.failures;
+    record.checkpoint = task.done ? "" : task.checkpoint;
+    for (const auto& run : task.runs) {
+      record.runs.push_back(
+          {run.number, run.worker->entry.info.id, run.life});
+    }
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+}  // namespace
+
+void scheduler::purge_ended(commit& out) {
+  std::vector<std::string> gone;
+  for (auto& [id, job] : jobs_) {
+    if (!has_ended(job->state) || job->has_runs()) {
+      continue;
+    }
+    for (const auto& occurrence : job->occurrences) {
+      for (const auto& step : occurrence.steps) {
+        bool stored = std::ranges::any_of(
+            step.tasks, [](const auto& task) { return task.last_run > 0; });
+        if (stored) {
+          out.progress.push_back({to_string(step.key), ""});
+        }
+      }
+    }
+    out.jobs.push_back({to_string(job_record_key{record_kind::job, id}), ""});
+    gone.push_back(id);
+  }
+  for (const auto& id : gone) {
+    jobs_.erase(id);
+  }
+}
+
+commit scheduler::plan(time_point now, unix_ms wall) {
+  commit out;
+  news_ = false;
+  expire_leases(now);
+  open_due_occurrences(now, wall);
+  place(now, out.orders);
+  for (auto& [id, job] : jobs_) {
+    for (auto& occurrence : job->occurrences) {
+      for (auto& step : occurrence.steps) {
+        if (step.dirty) {
+          step.dirty = false;
+          out.progress.push_back(
+              {to_string(step.key), encode(records_of(step))});
+        }
+      }
+    }
+    if (job->state_dirty) {
+      job->state_dirty = false;
+      out.jobs.push_back({to_string(job_record_key{record_kind::state, id}),
+                          encode(job_status{job->state, wall,
+                                            job->spec->queue})});
+    }
+  }
+  purge_ended(out);
+  out.jobs.insert(out.jobs.end(), removals_.begin(), removals_.end());
+  removals_.clear();
+  out.progress.insert(out.progress.end(), progress_removals_.begin(),
+                      progress_removals_.end());
+  progress_removals_.clear();
+  for (auto& [id, worker] : workers_) {
+    worker->ends_committing = worker->ends_applied;
+  }
+  return out;
+}
+
+void scheduler::committed() {
+  for (auto& [id, worker] : workers_) {
+    worker->ends_stored = worker->ends_committing;
+  }
+}
+
+std::size_t scheduler::waiting_tasks() const {
+  std::size_t count = 0;
+  for (const auto& [id, job] : jobs_) {
+    for (const auto& occurrence : job->occurrences) {
+      for (const auto& step : occurrence.steps) {
+        count += static_cast<std::size_t>(step.waiting);
+      }
+    }
+  }
+  return count;
+}
+
+}  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/src/scheduler_place.cc
@@ -0,0 +1,269 @@
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <set>
+
+#include "batch/detail/scheduler_state.h"
+#include "batch/scheduler.h"
+
+namespace vanillaladder::batch {
+
+using detail::run_phase;
+
+namespace {
+
+/// Share of their reservation that serving tasks use on average; the rest is
+/// left to filling tasks. From the users' description of their load.
+constexpr double serving_use = 0.5;
+/// Pressure on serving tasks above which no filling task is added.
+constexpr double crowded_pressure = 0.6;
+/// A filling task may start where it gets at least this share of its need.
+constexpr double least_fill_share = 0.75;
+
+// Costs are in units of a wholly used worker.
+constexpr double cold_cost = 2;
+constexpr double unproven_cost = 0.3;
+constexpr double far_cost = 1;
+constexpr double same_step_cost = 0.5;
+constexpr double pressure_cost = 1;
+
+double share(std::int64_t part, std::int64_t whole) {
+  return whole <= 0 ? 1 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+/// @return processor that serving and plain tasks leave to filling ones.
+double fill_room(const detail::worker_state& worker) {
+  auto plain = worker.reserved.cpu_millis - worker.serving_cpu;
+  return static_cast<double>(worker.entry.info.capacity.cpu_millis - plain -
+                             worker.fill_cpu) -
+         serving_use * static_cast<double>(worker.serving_cpu);
+}
+
+int count_of_step(const detail::worker_state& worker,
+                  const detail::step_state& step) {
+  return static_cast<int>(std::ranges::count_if(
+      worker.runs, [&](const auto& ref) { return ref.step == &step; }));
+}
+
+}  // namespace
+
+struct scheduler::ranked_step {
+  step_state* step = nullptr;
+  int priority = 0;
+  /// 0 on time, 1 late, 2 worth nothing any more.
+  int lateness = 0;
+  time_point due;
+
+  bool operator<(const ranked_step& other) const {
+    return std::tie(lateness, priority, due) <
+           std::tie(other.lateness, other.priority, other.due);
+  }
+};
+
+std::vector<scheduler::ranked_step> scheduler::rank_steps(time_point now) {
+  std::vector<ranked_step> ranked;
+  for (auto& [id, job] : jobs_) {
+    for (auto& occurrence : job->occurrences) {
+      for (auto& step : occurrence.steps) {
+        if (step.waiting == 0 || !is_ready(step)) {
+          continue;
+        }
+        ranked_step each{&step, job->policy.priority, 0, job->due.on_time};
+        if (!step.spec->lasting) {
+          if (now > job->due.late) {
+            each.lateness = 2;
+          } else if (now + step.spec->estimate > job->due.on_time) {
+            each.lateness = 1;
+          }
+        }
+        ranked.push_back(each);
+      }
+    }
+  }
+  std::ranges::sort(ranked, std::less<>());
+  return ranked;
+}
+
+bool scheduler::may_take(const worker_state& worker, const step_state& step,
+                         const task_state& task, time_point now) const {
+  const auto& info = worker.entry.info;
+  const auto& spec = *step.spec;
+  if (!worker.listed || !worker.reachable ||
+      info.state != model::instance_state::live ||
+      worker.entry.service != step.job->policy.service) {
+    return false;
+  }
+  if (std::ranges::find(closed_domains_, info.domain) !=
+      closed_domains_.end()) {
+    return false;
+  }
+  if (!spec.required_label.empty() &&
+      std::ranges::find(worker.entry.labels, spec.required_label) ==
+          worker.entry.labels.end()) {
+    return false;
+  }
+  auto need = spec.need;
+  if (spec.fills) {
+    if (worker.pace.pressure() > crowded_pressure ||
+        fill_room(worker) <
+            least_fill_share * static_cast<double>(need.cpu_millis)) {
+      return false;
+    }
+    need.cpu_millis = 0;
+  }
+  if (!model::fits_in(need, worker.room())) {
+    return false;
+  }
+  if (!worker.trust.may_start(now, static_cast<int>(worker.runs.size())) ||
+      (task.failures > 0 && info.id == task.last_failed_on)) {
+    return false;
+  }
+  return spec.per_worker_limit == 0 ||
+         count_of_step(worker, step) < spec.per_worker_limit;
+}
+
+double scheduler::cost_of(const worker_state& worker, const step_state& step,
+                          const task_state& task) const {
+  const auto& spec = *step.spec;
+  const auto& info = worker.entry.info;
+  double cost = share(worker.reserved.cpu_millis, info.capacity.cpu_millis);
+  if (worker.entry.cold.count() > 0) {
+    cost += cold_cost;
+  }
+  if (!worker.trust.proven()) {
+    cost += unproven_cost * (1 + task.failures);
+  }
+  cost += worker.trust.failures_in_a_row();
+  if (!spec.data_rack.empty() && info.rack != spec.data_rack) {
+    cost += far_cost;
+  }
+  if (spec.fills) {
+    cost = cost - share(static_cast<std::int64_t>(fill_room(worker)),
+                        info.capacity.cpu_millis) +
+           pressure_cost * worker.pace.pressure();
+  }
+  if (spec.lasting) {
+    // Serving tasks share workers so that others stay free for wide tasks.
+    cost = -cost + same_step_cost * count_of_step(worker, step);
+  }
+  return cost;
+}
+
+scheduler::worker_state* scheduler::choose_worker(const step_state& step,
+                                                  const task_state& task,
+                                                  time_point now,
+                                                  std::string_view rack) {
+  worker_state* best = nullptr;
+  double best_cost = 0;
+  for (auto& [id, worker] : workers_) {
+    if ((!rack.empty() && worker->entry.info.rack != rack) ||
+        !may_take(*worker, step, task, now)) {
+      continue;
+    }
+    double cost = cost_of(*worker, step, task);
+    if (best == nullptr || cost < best_cost) {
+      best = worker.get();
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+void scheduler::start(step_state& step, int index, worker_state& worker,
+                      int number, time_point now,
+                      std::vector<order>& orders) {
+  auto& task = step.tasks[static_cast<std::size_t>(index)];
+  add_run(step, index, worker, number, now);
+  step.dirty = true;
+  if (step.job->state == job_state::queued) {
+    set_state(*step.job, job_state::running);
+  }
+  task_key key{step.key, index};
+  note(absl::StrCat("run_start task=", to_string(key), " run=", number,
+                    " worker=", worker.entry.info.id,
+                    " room_cpu=", worker.room().cpu_millis,
+                    " room_mib=", worker.room().memory_mib,
+                    " pace=", worker.pace.percent(),
+                    " failures=", task.failures));
+  orders.push_back(start_order{worker.entry.info.id, std::move(key), number,
+                               step.job->spec,
+                               step.spec->checkpoints ? task.checkpoint : ""});
+}
+
+bool scheduler::place_gang(step_state& step, time_point now,
+                           std::vector<order>& orders) {
+  int number = 0;
+  std::string checkpoint;
+  for (const auto& task : step.tasks) {
+    if (!task.runs.empty()) {
+      return false;
+    }
+    number = std::max(number, task.last_run);
+    if (!task.checkpoint.empty()) {
+      checkpoint = task.checkpoint;
+    }
+  }
+  ++number;
+  std::set<std::string> racks = {""};
+  if (step.spec->same_rack) {
+    for (const auto& [id, worker] : workers_) {
+      racks.insert(worker->entry.info.rack);
+    }
+  }
+  // Racks by name, the unrestricted choice last.
+  for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
+    std::vector<worker_state*> chosen;
+    for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+      auto* worker = choose_worker(step, step.tasks[n], now, *rack);
+      if (worker == nullptr) {
+        break;
+      }
+      chosen.push_back(worker);
+      add_run(step, static_cast<int>(n), *worker, number, now);
+    }
+    bool complete = chosen.size() == step.tasks.size();
+    for (std::size_t n = 0; n < chosen.size(); ++n) {
+      int last_run = step.tasks[n].last_run;
+      remove_run(step, static_cast<int>(n), number);
+      step.tasks[n].last_run = complete ? last_run : number - 1;
+    }
+    if (complete) {
+      for (std::size_t n = 0; n < chosen.size(); ++n) {
+        step.tasks[n].checkpoint = checkpoint;
+        start(step, static_cast<int>(n), *chosen[n], number, now, orders);
+      }
+      return true;
+    }
+  }
+  return false;
+}
+
+void scheduler::place_step(step_state& step, time_point now,
+                           std::vector<order>& orders) {
+  if (step.spec->gang) {
+    place_gang(step, now, orders);
+    return;
+  }
+  for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+    auto& task = step.tasks[n];
+    if (!task.waits() || now < task.not_before) {
+      continue;
+    }
+    auto* worker = choose_worker(step, task, now, "");
+    if (worker != nullptr) {
+      start(step, static_cast<int>(n), *worker, task.last_run + 1, now,
+            orders);
+    } else if (task.failures == 0) {
+      // The step's other tasks need the same.
+      return;
+    }
+  }
+}
+
+void scheduler::place(time_point now, std::vector<order>& orders) {
+  for (const auto& each : rank_steps(now)) {
+    place_step(*each.step, now, orders);
+  }
+}
+
+}  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/src/scheduler_workers.cc
@@ -0,0 +1,346 @@
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "batch/detail/scheduler_state.h"
+#include "batch/scheduler.h"
+
+namespace vanillaladder::batch {
+
+using detail::run_phase;
+
+namespace {
+
+/// Speaks against a run that a leaving worker would not finish.
+constexpr milliseconds leave_margin{300};
+
+}  // namespace
+
+std::string_view name_of(end_reason reason) {
+  switch (reason) {
+    case end_reason::done:
+      return "done";
+    case end_reason::failed:
+      return "failed";
+    case end_reason::stopped:
+      return "stopped";
+    case end_reason::lease_expired:
+      return "lease_expired";
+    case end_reason::gang_broken:
+      return "gang_broken";
+    case end_reason::gang_incomplete:
+      return "gang_incomplete";
+  }
+  return "unknown";
+}
+
+scheduler::worker_state* scheduler::find_worker(std::string_view id) {
+  auto found = workers_.find(absl::string_view(id.data(), id.size()));
+  return found == workers_.end() ? nullptr : found->second.get();
+}
+
+const scheduler::worker_state* scheduler::find_worker(
+    std::string_view id) const {
+  auto found = workers_.find(absl::string_view(id.data(), id.size()));
+  return found == workers_.end() ? nullptr : found->second.get();
+}
+
+void scheduler::update_worker(const worker_entry& entry, time_point now) {
+  auto& worker = workers_[entry.info.id];
+  if (worker == nullptr) {
+    worker = std::make_unique<worker_state>();
+    worker->lease = lease_bound(takeover_ + options_.earlier_leases);
+  }
+  bool was_leaving =
+      worker->listed &&
+      worker->entry.info.state == model::instance_state::leaving;
+  bool leaving = entry.info.state == model::instance_state::leaving;
+  if (!worker->listed || was_leaving != leaving) {
+    note(absl::StrCat("worker_listed id=", entry.info.id, " address=",
+                      entry.info.address, ":", entry.info.port,
+                      " domain=", entry.info.domain, " leaving=", leaving,
+                      " remaining_ms=", entry.remaining.count(),
+                      " life=", entry.life));
+  }
+  worker->entry = entry;
+  worker->listed = true;
+  if (leaving && !was_leaving) {
+    leave_worker(*worker, now);
+  }
+  news_ = true;
+}
+
+void scheduler::remove_worker(const model::worker_id& id) {
+  auto* worker = find_worker(id);
+  if (worker == nullptr || !worker->listed) {
+    return;
+  }
+  note(absl::StrCat("worker_unlisted id=", id,
+                    " runs=", worker->runs.size()));
+  worker->listed = false;
+  news_ = true;
+}
+
+/// Moves what a leaving worker would not finish.
+void scheduler::leave_worker(worker_state& worker, time_point now) {
+  auto runs = worker.runs;
+  for (const auto& ref : runs) {
+    auto* run =
+        ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
+            ref.number);
+    const auto& spec = *ref.step->spec;
+    auto left = spec.estimate - (now - run->since);
+    bool finishes =
+        !spec.lasting && left + leave_margin < worker.entry.remaining;
+    if (!finishes && run->phase == run_phase::running) {
+      order_stop(*ref.step, ref.index, *run, "worker_leaves", now);
+    }
+  }
+}
+
+void scheduler::on_unreachable(const model::worker_id& id, time_point now) {
+  auto* worker = find_worker(id);
+  if (worker == nullptr || !worker->reachable) {
+    return;
+  }
+  auto left = std::chrono::duration_cast<milliseconds>(worker->lease.over() -
+                                                       now);
+  note(absl::StrCat("worker_unreachable id=", id,
+                    " runs=", worker->runs.size(),
+                    " lease_left_ms=", left.count()));
+  worker->reachable = false;
+}
+
+void scheduler::on_lease(const model::worker_id& id, milliseconds deadline) {
+  if (auto* worker = find_worker(id)) {
+    worker->lease.extend(deadline);
+  }
+}
+
+const lease_bound* scheduler::lease_of(const model::worker_id& id) const {
+  const auto* worker = find_worker(id);
+  return worker == nullptr ? nullptr : &worker->lease;
+}
+
+void scheduler::on_report(const model::worker_id& id,
+                          const worker_report& report) {
+  auto* worker = find_worker(id);
+  if (worker == nullptr || report.life < worker->life) {
+    return;
+  }
+  if (report.life != worker->life) {
+    if (worker->life != 0) {
+      note(absl::StrCat("worker_restarted id=", id, " life=", report.life,
+                        " before=", worker->life,
+                        " runs=", worker->runs.size()));
+    }
+    worker->life = report.life;
+    worker->ends_applied = 0;
+    worker->ends_committing = 0;
+    worker->ends_stored = 0;
+    worker->lease = lease_bound();
+  }
+  if (!worker->reachable) {
+    note(absl::StrCat("worker_reachable id=", id,
+                      " running=", report.running.size(),
+                      " ended=", report.ended.size()));
+    worker->reachable = true;
+    news_ = true;
+  }
+  worker->lease.observe_clock(report.clock, report.received,
+                              options_.longest_lease);
+  for (const auto& end : report.ended) {
+    apply_end(*worker, end, report.received);
+  }
+  apply_running(*worker, report);
+  update_pace(*worker, report.received);
+}
+
+void scheduler::apply_end(worker_state& worker, const reported_end& end,
+                          time_point now) {
+  if (end.number <= worker.ends_applied) {
+    return;
+  }
+  worker.ends_applied = end.number;
+  news_ = true;
+  auto* step = find_step(end.task.step);
+  if (step == nullptr || end.task.index < 0 ||
+      end.task.index >= step->spec->count) {
+    return;
+  }
+  auto& task = step->tasks[static_cast<std::size_t>(end.task.index)];
+  auto* run = task.find_run(end.run);
+  if (run == nullptr || run->worker != &worker) {
+    return;
+  }
+  end_run(*step, end.task.index, end.run, end.reason, end.checkpoint, now);
+}
+
+void scheduler::apply_running(worker_state& worker,
+                              const worker_report& report) {
+  std::vector<detail::run_ref> seen;
+  for (const auto& row : report.running) {
+    auto* step = find_step(row.task.step);
+    run_state* run = nullptr;
+    if (step != nullptr && row.task.index >= 0 &&
+        row.task.index < step->spec->count) {
+      auto& task = step->tasks[static_cast<std::size_t>(row.task.index)];
+      run = task.find_run(row.number);
+      if (run != nullptr && run->worker == &worker && !row.checkpoint.empty()) {
+        task.checkpoint = row.checkpoint;
+      }
+    }
+    if (run == nullptr || run->worker != &worker) {
+      note(absl::StrCat("run_unknown task=", to_string(row.task),
+                        " run=", row.number,
+                        " worker=", worker.entry.info.id));
+      orders_.push_back(
+          stop_order{worker.entry.info.id, row.task, row.number});
+      continue;
+    }
+    run->life = worker.life;
+    run->percent = row.percent;
+    run->measure = row.measure;
+    if (run->phase == run_phase::starting) {
+      run->phase = run_phase::running;
+      run->is_answered = true;
+      run->answered = report.received;
+    }
+    seen.push_back({step, row.task.index, row.number});
+  }
+  auto refs = worker.runs;
+  for (const auto& ref : refs) {
+    auto* run = ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
+        ref.number);
+    bool shown = std::ranges::find(seen, ref) != seen.end();
+    if (!shown && run->is_answered && run->answered < report.asked) {
+      end_run(*ref.step, ref.index, ref.number, end_reason::lease_expired, "",
+              report.received);
+    }
+  }
+}
+
+void scheduler::update_pace(worker_state& worker, time_point now) {
+  double pressure = 0;
+  for (const auto& ref : worker.runs) {
+    const auto* run =
+        ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
+            ref.number);
+    auto target = ref.step->spec->target;
+    if (ref.step->spec->lasting && target.count() > 0 &&
+        run->phase == run_phase::running) {
+      pressure = std::max(pressure, static_cast<double>(run->measure) /
+                                        static_cast<double>(target.count()));
+    }
+  }
+  int before = worker.pace.percent();
+  int percent = worker.pace.update(pressure, now);
+  if (percent != before) {
+    note(absl::StrCat("pace worker=", worker.entry.info.id,
+                      " percent=", percent, " before=", before,
+                      " pressure=", pressure));
+    news_ = true;
+  }
+  for (const auto& ref : worker.runs) {
+    auto* run = ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
+        ref.number);
+    if (ref.step->spec->fills && run->phase == run_phase::running &&
+        run->percent != percent) {
+      orders_.push_back(pace_order{worker.entry.info.id,
+                                   {ref.step->key, ref.index},
+                                   ref.number,
+                                   percent});
+    }
+  }
+}
+
+void scheduler::on_start_result(const model::worker_id& id,
+                                const task_key& task, int run_number,
+                                start_outcome outcome, time_point now) {
+  auto* worker = find_worker(id);
+  auto* step = find_step(task.step);
+  if (worker == nullptr || step == nullptr) {
+    return;
+  }
+  auto* run =
+      step->tasks[static_cast<std::size_t>(task.index)].find_run(run_number);
+  if (run == nullptr || run->worker != worker ||
+      run->phase != run_phase::starting) {
+    return;
+  }
+  switch (outcome) {
+    case start_outcome::confirmed:
+      run->phase = run_phase::running;
+      run->is_answered = true;
+      run->answered = now;
+      return;
+    case start_outcome::unknown:
+      order_stop(*step, task.index, *run, "start_unanswered", now);
+      return;
+    case start_outcome::unhealthy:
+      worker->trust.on_refused(now);
+      break;
+    case start_outcome::no_room:
+    case start_outcome::not_run:
+      break;
+  }
+  note(absl::StrCat("start_refused task=", to_string(task),
+                    " run=", run_number, " worker=", id,
+                    " outcome=", static_cast<int>(outcome)));
+  remove_run(*step, task.index, run_number);
+}
+
+void scheduler::on_stop_answered(const model::worker_id& id,
+                                 const task_key& task, int run_number,
+                                 time_point now) {
+  auto* step = find_step(task.step);
+  if (step == nullptr || task.index < 0 || task.index >= step->spec->count) {
+    return;
+  }
+  auto* run =
+      step->tasks[static_cast<std::size_t>(task.index)].find_run(run_number);
+  if (run == nullptr || run->worker->entry.info.id != id ||
+      run->phase != run_phase::stopping) {
+    return;
+  }
+  run->is_answered = true;
+  run->answered = now;
+}
+
+void scheduler::lose_runs(worker_state& worker, std::string_view why,
+                          time_point now) {
+  note(absl::StrCat("worker_lost id=", worker.entry.info.id,
+                    " runs=", worker.runs.size(),
+                    " why=", std::string(why)));
+  auto refs = worker.runs;
+  for (const auto& ref : refs) {
+    end_run(*ref.step, ref.index, ref.number, end_reason::lease_expired, "",
+            now);
+  }
+}
+
+void scheduler::expire_leases(time_point now) {
+  for (auto& [id, worker] : workers_) {
+    if (!worker->runs.empty() && now > worker->lease.over()) {
+      lose_runs(*worker, "lease_over", now);
+      worker->reachable = false;
+    }
+  }
+}
+
+std::int64_t scheduler::stored_end(const model::worker_id& id) const {
+  const auto* worker = find_worker(id);
+  return worker == nullptr ? 0 : worker->ends_stored;
+}
+
+bool scheduler::wants_contact(const model::worker_id& id) const {
+  const auto* worker = find_worker(id);
+  return worker != nullptr && (worker->listed || !worker->runs.empty());
+}
+
+bool scheduler::is_sensitive(const model::worker_id& id) const {
+  const auto* worker = find_worker(id);
+  return worker != nullptr && worker->fill_cpu > 0 && worker->serving_cpu > 0;
+}
+
+}  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/test/job_records_test.cc
@@ -0,0 +1,82 @@
+#include "batch/job_records.h"
+
+#include <catch2/catch.hpp>
+
+namespace vanillaladder::batch {
+namespace {
+
+job_spec full_job() {
+  job_spec spec;
+  spec.id = "5c0e7a21d94b36f8";
+  spec.queue = "reports";
+  spec.payload = "payload";
+  step_spec first;
+  first.count = 4;
+  first.need = {500, 256, 1};
+  first.estimate = milliseconds(900);
+  first.data_rack = "r1-3";
+  step_spec second = first;
+  second.after = {0};
+  second.checkpoints = second.gang = second.same_rack = true;
+  second.speculative = second.lasting = second.fills = true;
+  second.required_label = "a";
+  second.image = "img";
+  second.per_worker_limit = 2;
+  second.max_away = 1;
+  second.target = milliseconds(20);
+  spec.steps = {first, second};
+  spec.repeat_count = 3;
+  spec.first_run = 1'700'000'000'000;
+  spec.interval = milliseconds(4500);
+  spec.accepted = 1'700'000'000'001;
+  spec.policy = {"aula", 2, 3, 1.5, milliseconds(250)};
+  return spec;
+}
+
+TEST_CASE("a job survives its record unchanged") {
+  auto spec = full_job();
+  auto read = decode_job(spec.id, encode(spec));
+  REQUIRE(read.ok());
+  REQUIRE(*read == spec);
+}
+
+TEST_CASE("progress of a step survives its record unchanged") {
+  std::vector<task_record> tasks = {
+      {0, true, 2, 1, "", {}},
+      {3, false, 5, 0, "00ab", {{5, "i-1", 1'700'000'000'002}}}};
+  auto read = decode_tasks(encode(tasks));
+  REQUIRE(read.ok());
+  REQUIRE(*read == tasks);
+}
+
+TEST_CASE("keys survive their text") {
+  job_record_key key{record_kind::cancellation, "5c0e7a21d94b36f8"};
+  REQUIRE(parse_job_record_key(to_string(key)) == key);
+  step_key step{"5c0e7a21d94b36f8", 2, 1};
+  REQUIRE(parse_step_key(to_string(step)) == step);
+  task_key task{step, 17};
+  REQUIRE(to_string(task) == "5c0e7a21d94b36f8.2.1.17");
+  REQUIRE(parse_task_key(to_string(task)) == task);
+}
+
+// A record that can't be read must be reported, not taken for an empty one.
+TEST_CASE("cut and foreign bytes are refused") {
+  auto whole = encode(full_job());
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    auto cut = decode_job("x", std::string_view(whole).substr(0, length));
+    INFO("length " << length);
+    REQUIRE_FALSE(cut.ok());
+  }
+  REQUIRE_FALSE(decode_status("\xff\xff\xff").ok());
+  REQUIRE_FALSE(decode_tasks(std::string(64, '\x19')).ok());
+  for (const char* key : {"", "j", "j/", "x/a", "5/0", "a/b/c", "a/1/2/3"}) {
+    REQUIRE_FALSE(parse_job_record_key(key).has_value());
+    REQUIRE_FALSE(parse_step_key(key).has_value());
+  }
+  for (const char* name : {"", "a.0.1", "a.0.1.x", ".0.1.2", "a.0.1.2.3"}) {
+    REQUIRE_FALSE(parse_task_key(name).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace vanillaladder::batch
--- a/packages/control/include/control/control_plane.h
+++ b/packages/control/include/control/control_plane.h
@@ -19,9 +19,9 @@
 #include "coordination/slot_grants.h"
 #include "coordination/view_freshness.h"
 #include "http/event_loop.h"
-#include "platform/http_instance_list.h"
-#include "platform/http_log_service.h"
-#include "platform/http_worker_service.h"
+#include "external/http_instance_list.h"
+#include "external/http_log_service.h"
+#include "external/http_worker_service.h"
 #include "runtime/metrics.h"
 #include "runtime/settings.h"
 #include "serving/view.h"
@@ -176,16 +176,16 @@
   runtime::metrics& metrics_;
   runtime::logger logger_{"control"};
   http::event_loop loop_;
-  platform::http_log_service log_;
-  platform::http_worker_service workers_;
-  platform::http_instance_list instance_list_;
+  external::http_log_service log_;
+  external::http_worker_service workers_;
+  external::http_instance_list instance_list_;
   peer_mesh mesh_;
   std::unique_ptr<control_stream> stream_;
   std::unique_ptr<shard_set> shards_;
   coordination::view_freshness freshness_;
   coordination::grant_tracker grants_;
   coordination::config_view config_{coordination::config_keys{}};
-  platform::instance_snapshot instances_;
+  external::instance_snapshot instances_;
   std::map<model::instance_id, peer_state> peers_;
   std::vector<confirmation> confirmations_;
   model::offset applied_ = -1;
--- a/packages/control/include/control/control_stream.h
+++ b/packages/control/include/control/control_stream.h
@@ -12,7 +12,7 @@
 #include "coordination/control_state.h"
 #include "coordination/stream_reader.h"
 #include "http/event_loop.h"
-#include "platform/log_service.h"
+#include "external/log_service.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 
@@ -40,7 +40,7 @@
   };
 
   /// @param log, loop, metrics must outlive the stream.
-  control_stream(http::event_loop& loop, platform::log_service& log,
+  control_stream(http::event_loop& loop, external::log_service& log,
                  runtime::metrics& metrics, caller_identity self,
                  hooks callbacks);
   ~control_stream();
@@ -81,7 +81,7 @@
 
   void read_next();
   void on_read(model::time_point sent,
-               absl::StatusOr<platform::read_result> result);
+               absl::StatusOr<external::read_result> result);
   void after_records(const std::vector<applied>& records);
   void remember(model::offset at, const std::string& bytes);
   void resolve(const applied& record);
@@ -89,7 +89,7 @@
   void publish_snapshot_if_due();
 
   http::event_loop& loop_;
-  platform::log_service& log_;
+  external::log_service& log_;
   runtime::metrics& metrics_;
   runtime::logger logger_{"control"};
   hooks hooks_;
--- a/packages/control/include/control/detail/log_read.h
+++ b/packages/control/include/control/detail/log_read.h
@@ -3,12 +3,12 @@
 #include <utility>
 
 #include "coordination/stream_reader.h"
-#include "platform/log_service.h"
+#include "external/log_service.h"
 
 namespace vanillaladder::control::detail {
 
 /// @return the log's answer in the form that stream readers take.
-inline coordination::read_result to_read_result(platform::read_result result) {
+inline coordination::read_result to_read_result(external::read_result result) {
   coordination::read_result made;
   made.first = result.first;
   made.next = result.next;
--- a/packages/control/include/control/detail/shard_core.h
+++ b/packages/control/include/control/detail/shard_core.h
@@ -93,11 +93,11 @@
   void end_without_lease(worker_entry& worker);
   bool worth_listing(const worker_entry& worker) const;
   void list(worker_entry& worker);
-  void reconcile(worker_entry& worker, const platform::worker_report& report);
+  void reconcile(worker_entry& worker, const external::worker_report& report);
   bool adopt_running(worker_entry& worker,
-                     const platform::worker_report& report);
+                     const external::worker_report& report);
   bool delete_old_leases(worker_entry& worker,
-                         const platform::worker_report& report);
+                         const external::worker_report& report);
   void lease_call_done(const detail::call_entry& call,
                        const events::worker_call_done& done);
   void retire_lease(worker_entry& worker, const lease_id& lease);
@@ -108,24 +108,24 @@
   model::milliseconds lease_end_delay() const;
 
   // Reports (shard_machine_report.cc).
-  void take_report(worker_entry& worker, const platform::worker_report& report);
-  void take_task(worker_entry& worker, const platform::task_report& report);
+  void take_report(worker_entry& worker, const external::worker_report& report);
+  void take_task(worker_entry& worker, const external::task_report& report);
   void take_running(worker_entry& worker, const task_key& key,
-                    const platform::task_report& report);
+                    const external::task_report& report);
   void take_end(worker_entry& worker, const task_key& key,
-                const platform::task_report& report);
-  void take_absent(worker_entry& worker, const platform::worker_report& report);
-  void learn(worker_entry& worker, const platform::worker_report& report);
+                const external::task_report& report);
+  void take_absent(worker_entry& worker, const external::worker_report& report);
+  void learn(worker_entry& worker, const external::worker_report& report);
   void learn_usage(const task_key& key, const attempt& entry,
-                   const platform::usage_report& measured);
+                   const external::usage_report& measured);
   void learn_slowdowns(worker_entry& worker,
-                       const platform::worker_report& report,
+                       const external::worker_report& report,
                        const scheduling::class_counts& running);
   void relieve_overcommitment(worker_entry& worker);
   template <class Score>
   std::optional<task_key> victim(const worker_entry& worker, Score score) const;
   void control_pressure(worker_entry& worker,
-                        const platform::worker_report& report);
+                        const external::worker_report& report);
   void sync_throttles(worker_entry& worker);
   std::optional<task_key> known_task(const std::string& name) const;
 
--- a/packages/control/include/control/shard_driver.h
+++ b/packages/control/include/control/shard_driver.h
@@ -14,8 +14,8 @@
 #include "control/shard_machine.h"
 #include "control/trace.h"
 #include "http/event_loop.h"
-#include "platform/log_service.h"
-#include "platform/worker_service.h"
+#include "external/log_service.h"
+#include "external/worker_service.h"
 #include "runtime/metrics.h"
 
 namespace vanillaladder::control {
@@ -23,8 +23,8 @@
 /// What a shard driver needs from its surroundings; all must outlive it.
 struct shard_environment {
   http::event_loop& loop;
-  platform::log_service& log;
-  platform::worker_service& workers;
+  external::log_service& log;
+  external::worker_service& workers;
   runtime::metrics& metrics;
   /// Where traces are written; empty writes none.
   std::string trace_folder;
@@ -85,9 +85,9 @@
   class performer;
 
   void read_next();
-  void on_read(absl::StatusOr<platform::read_result> result);
-  platform::worker_address address_of(const model::worker_id& worker) const;
-  platform::worker_service::status_callback call_done(call_id call,
+  void on_read(absl::StatusOr<external::read_result> result);
+  external::worker_address address_of(const model::worker_id& worker) const;
+  external::worker_service::status_callback call_done(call_id call,
                                                       bool not_sent_is_refusal);
   void expire_keys(model::time_point now);
 
@@ -103,7 +103,7 @@
   std::deque<event> pending_events_;
   request_token last_token_ = 0;
   model::time_point next_tick_{};
-  std::unordered_map<model::worker_id, platform::worker_address> addresses_;
+  std::unordered_map<model::worker_id, external::worker_address> addresses_;
   std::unordered_map<request_token, submit_callback> submits_;
   std::unordered_map<request_token, cancel_callback> cancels_;
   std::unordered_map<request_token, query_callback> queries_;
--- a/packages/control/include/control/shard_messages.h
+++ b/packages/control/include/control/shard_messages.h
@@ -12,7 +12,7 @@
 #include "coordination/shard_state.h"
 #include "coordination/stream_reader.h"
 #include "model/types.h"
-#include "platform/worker_service.h"
+#include "external/worker_service.h"
 
 /// Events that `shard_machine` takes and actions that it returns.
 namespace vanillaladder::control {
@@ -21,8 +21,8 @@
 using call_id = std::uint64_t;
 /// Identifies a caller's request; chosen by the I/O layer.
 using request_token = std::uint64_t;
-using platform::attempt_id;
-using platform::lease_id;
+using external::attempt_id;
+using external::lease_id;
 
 /// Kind of a class of jobs (`class.<name>.kind`).
 enum class class_kind { interactive, urgent, batch };
@@ -114,7 +114,7 @@
 /// Result of `list_worker`.
 struct worker_listed {
   call_id call = 0;
-  platform::worker_report report;
+  external::worker_report report;
 };
 
 /// The workers of this shard, as the instance list has them now.
@@ -285,7 +285,7 @@
 struct start_task {
   call_id call = 0;
   model::worker_id worker;
-  platform::task_start start;
+  external::task_start start;
 };
 
 /// Moves a running task under `lease`.
--- a/packages/control/src/control_plane.cc
+++ b/packages/control/src/control_plane.cc
@@ -347,7 +347,7 @@
   fetching_ = true;
   last_fetch_ = now;
   instance_list_.fetch(
-      [this](absl::StatusOr<platform::instance_snapshot> list) {
+      [this](absl::StatusOr<external::instance_snapshot> list) {
         fetching_ = false;
         if (!list.ok()) {
           metrics_.counter("vanillaladder_instance_list_failures_total")
--- a/packages/control/src/control_stream.cc
+++ b/packages/control/src/control_stream.cc
@@ -27,7 +27,7 @@
 }  // namespace
 
 control_stream::control_stream(http::event_loop& loop,
-                               platform::log_service& log,
+                               external::log_service& log,
                                runtime::metrics& metrics, caller_identity self,
                                hooks callbacks)
     : loop_(loop),
@@ -55,7 +55,7 @@
 }
 
 void control_stream::on_read(time_point sent,
-                             absl::StatusOr<platform::read_result> result) {
+                             absl::StatusOr<external::read_result> result) {
   if (!result.ok()) {
     metrics_.counter("vanillaladder_log_failures_total", "call", "read")
         .increment();
--- a/packages/control/src/shard_driver.cc
+++ b/packages/control/src/shard_driver.cc
@@ -8,7 +8,7 @@
 #include <type_traits>
 
 #include "control/detail/log_read.h"
-#include "platform/error.h"
+#include "external/error.h"
 
 namespace vanillaladder::control {
 namespace {
@@ -36,7 +36,7 @@
   }
   // A start that was never sent cannot take effect later. A renewal that was
   // never sent says nothing about the lease.
-  return not_sent_is_refusal && !platform::possibly_sent(status)
+  return not_sent_is_refusal && !external::possibly_sent(status)
              ? call_outcome::refused
              : call_outcome::unknown;
 }
@@ -224,8 +224,8 @@
   }
 
  private:
-  platform::worker_service& workers() { return driver_.environment_.workers; }
-  platform::worker_address address(const model::worker_id& worker) {
+  external::worker_service& workers() { return driver_.environment_.workers; }
+  external::worker_address address(const model::worker_id& worker) {
     return driver_.address_of(worker);
   }
 
@@ -274,7 +274,7 @@
                         });
 }
 
-void shard_driver::on_read(absl::StatusOr<platform::read_result> result) {
+void shard_driver::on_read(absl::StatusOr<external::read_result> result) {
   bool ok = result.ok();
   if (ok) {
     auto read = detail::to_read_result(*std::move(result));
@@ -368,14 +368,14 @@
   feed(events::append_body{token, std::move(body)});
 }
 
-platform::worker_address shard_driver::address_of(
+external::worker_address shard_driver::address_of(
     const model::worker_id& worker) const {
   auto found = addresses_.find(worker);
-  return found == addresses_.end() ? platform::worker_address{worker, "", 0}
+  return found == addresses_.end() ? external::worker_address{worker, "", 0}
                                    : found->second;
 }
 
-platform::worker_service::status_callback shard_driver::call_done(
+external::worker_service::status_callback shard_driver::call_done(
     call_id call, bool not_sent_is_refusal) {
   return [this, call, not_sent_is_refusal,
           alive = alive_](const absl::Status& status) {
--- a/packages/control/src/shard_machine_leases.cc
+++ b/packages/control/src/shard_machine_leases.cc
@@ -152,7 +152,7 @@
 }
 
 void shard_machine::impl::reconcile(worker_entry& worker,
-                                    const platform::worker_report& report) {
+                                    const external::worker_report& report) {
   const auto listed = [&](const lease_id& lease) {
     return std::ranges::any_of(
         report.leases, [&](const auto& entry) { return entry.lease == lease; });
@@ -189,10 +189,10 @@
 }
 
 bool shard_machine::impl::adopt_running(worker_entry& worker,
-                                        const platform::worker_report& report) {
+                                        const external::worker_report& report) {
   bool called = false;
   for (const auto& task : report.tasks) {
-    if (task.state != platform::task_state::running ||
+    if (task.state != external::task_state::running ||
         task.lease == worker.current || !log_current())
       continue;
     const auto key = known_task(task.id.task);
@@ -214,7 +214,7 @@
 }
 
 bool shard_machine::impl::delete_old_leases(
-    worker_entry& worker, const platform::worker_report& report) {
+    worker_entry& worker, const external::worker_report& report) {
   bool old = false;
   for (const auto& entry : report.leases) {
     if (entry.lease == worker.current)
--- a/packages/control/src/shard_machine_report.cc
+++ b/packages/control/src/shard_machine_report.cc
@@ -8,7 +8,7 @@
 
 using namespace detail;
 namespace records = coordination;
-using platform::task_state;
+using external::task_state;
 
 std::optional<task_key> shard_machine::impl::known_task(
     const std::string& name) const {
@@ -27,7 +27,7 @@
 }
 
 void shard_machine::impl::take_report(worker_entry& worker,
-                                      const platform::worker_report& report) {
+                                      const external::worker_report& report) {
   worker.last_heard = now;
   worker.orphans = 0;
   for (const auto& task : report.tasks)
@@ -47,7 +47,7 @@
 }
 
 void shard_machine::impl::take_task(worker_entry& worker,
-                                    const platform::task_report& report) {
+                                    const external::task_report& report) {
   const auto key = known_task(report.id.task);
   attempt* const entry = key ? find_attempt(*key) : nullptr;
   const bool current = entry != nullptr && entry->worker == worker.info.id &&
@@ -89,7 +89,7 @@
 
 void shard_machine::impl::take_running(worker_entry& worker,
                                        const task_key& key,
-                                       const platform::task_report& report) {
+                                       const external::task_report& report) {
   attempt& entry = attempts.at(key);
   if (entry.stage == attempt_stage::sent) {
     entry.stage = attempt_stage::running;
@@ -111,7 +111,7 @@
 }
 
 void shard_machine::impl::take_end(worker_entry& worker, const task_key& key,
-                                   const platform::task_report& report) {
+                                   const external::task_report& report) {
   attempt& entry = attempts.at(key);
   entry.listed_end = true;
   const scheduling::start_probation::attempt id{report.id.task, entry.number};
@@ -147,7 +147,7 @@
 }
 
 void shard_machine::impl::take_absent(worker_entry& worker,
-                                      const platform::worker_report& report) {
+                                      const external::worker_report& report) {
   std::set<std::pair<std::string, std::uint32_t>> listed;
   for (const auto& task : report.tasks)
     listed.insert({task.id.task, task.id.attempt});
@@ -183,7 +183,7 @@
 }
 
 void shard_machine::impl::learn(worker_entry& worker,
-                                const platform::worker_report& report) {
+                                const external::worker_report& report) {
   model::resources used_by_tasks;
   scheduling::class_counts running;
   for (const auto& task : report.tasks) {
@@ -202,7 +202,7 @@
 }
 
 void shard_machine::impl::learn_usage(const task_key& key, const attempt& entry,
-                                      const platform::usage_report& measured) {
+                                      const external::usage_report& measured) {
   const auto* const job = fold().find_job(key.first);
   if (job == nullptr)
     return;
@@ -216,11 +216,11 @@
 }
 
 void shard_machine::impl::learn_slowdowns(
-    worker_entry& worker, const platform::worker_report& report,
+    worker_entry& worker, const external::worker_report& report,
     const scheduling::class_counts& running) {
   // A throttled task is slow because of the throttle.
   const bool throttled = worker.throttle.percent() < 100;
-  const auto comparable = [&](const platform::usage_report& measured) {
+  const auto comparable = [&](const external::usage_report& measured) {
     return !throttled && measured.slowdown_percent > 0 &&
            now - measured.age >= worker.neighbours_changed;
   };
@@ -277,7 +277,7 @@
 }
 
 void shard_machine::impl::control_pressure(
-    worker_entry& worker, const platform::worker_report& report) {
+    worker_entry& worker, const external::worker_report& report) {
   relieve_overcommitment(worker);
   const auto measured = now - report.usage.age;
   if (report.usage.slowdown_percent <= 0 ||
--- a/packages/control/src/trace_json.h
+++ b/packages/control/src/trace_json.h
@@ -46,7 +46,7 @@
 
 }  // namespace vanillaladder::model
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_id, task, attempt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(task_start, lease, id, size, command,
@@ -57,7 +57,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lease_report, lease, holder, remaining)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_report, leases, tasks, usage)
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
 
 namespace vanillaladder::coordination {
 
--- a/packages/control/test/shard_machine_test.cc
+++ b/packages/control/test/shard_machine_test.cc
@@ -313,7 +313,7 @@
   const bool done = sim.run_until(seconds(300), [&] {
     std::int64_t used = 0;
     for (const auto& [id, task] : sim.workers["w0"].runs)
-      if (task.state == platform::task_state::running)
+      if (task.state == external::task_state::running)
         used += sim.workers["w0"].use_of(task).memory_mib;
     CHECK(used <= 8'000);
     return ended(sim, "a");
--- a/packages/control/test/shard_simulation.h
+++ b/packages/control/test/shard_simulation.h
@@ -32,8 +32,8 @@
     time_point expires;
   };
   struct run {
-    platform::task_start start;
-    platform::task_state state = platform::task_state::running;
+    external::task_start start;
+    external::task_state state = external::task_state::running;
     time_point since;
     int throttle = 100;
   };
@@ -59,13 +59,13 @@
 
   void advance(time_point now) {
     for (auto& [id, task] : runs) {
-      if (task.state != platform::task_state::running)
+      if (task.state != external::task_state::running)
         continue;
       const auto held = leases.find(task.start.lease);
       const auto until =
           held == leases.end() ? now : std::min(now, held->second.expires);
       if (until - task.since >= left(task)) {
-        task.state = platform::task_state::finished;
+        task.state = external::task_state::finished;
       } else if (held == leases.end() || held->second.expires <= now) {
         stop(task, until);
       }
@@ -77,7 +77,7 @@
 
   void stop(run& task, time_point now) {
     checkpoint(task, now);
-    task.state = platform::task_state::stopped;
+    task.state = external::task_state::stopped;
   }
 
   void checkpoint(run& task, time_point now) {
@@ -87,13 +87,13 @@
     task.since = now;
   }
 
-  bool start(const platform::task_start& task, time_point now) {
+  bool start(const external::task_start& task, time_point now) {
     if (!leases.contains(task.lease))
       return false;
     starts.emplace_back(now, task.id);
     runs[task.id] = {task,
-                     fails_everything ? platform::task_state::failed
-                                      : platform::task_state::running,
+                     fails_everything ? external::task_state::failed
+                                      : external::task_state::running,
                      now, 100};
     return true;
   }
@@ -101,7 +101,7 @@
   run* running(const attempt_id& id) {
     const auto found = runs.find(id);
     return found != runs.end() &&
-                   found->second.state == platform::task_state::running
+                   found->second.state == external::task_state::running
                ? &found->second
                : nullptr;
   }
@@ -109,7 +109,7 @@
   model::resources load() const {
     model::resources sum;
     for (const auto& [id, task] : runs)
-      if (task.state == platform::task_state::running)
+      if (task.state == external::task_state::running)
         sum += task.start.size;
     return sum;
   }
@@ -124,13 +124,13 @@
     return used;
   }
 
-  platform::worker_report report() const {
-    platform::worker_report out;
+  external::worker_report report() const {
+    external::worker_report out;
     out.usage.slowdown_percent = runs.empty() ? 0 : slowdown_percent;
     for (const auto& [id, held] : leases)
       out.leases.push_back({id, held.holder, milliseconds(0)});
     for (const auto& [id, task] : runs) {
-      platform::usage_report used;
+      external::usage_report used;
       if (measures_usage)
         used.used = use_of(task);
       out.tasks.push_back(
@@ -315,7 +315,7 @@
     worker.advance(now);
     return static_cast<std::size_t>(
         std::ranges::count_if(worker.runs, [](const auto& entry) {
-          return entry.second.state == platform::task_state::running;
+          return entry.second.state == external::task_state::running;
         }));
   }
 
@@ -534,7 +534,7 @@
   }
   void perform(daemon& /*member*/, const actions::cancel_delegated& /*c*/) {}
 
-  void check_start(const fake_worker& worker, const platform::task_start& start,
+  void check_start(const fake_worker& worker, const external::task_start& start,
                    bool ok) {
     if (!ok)
       return;
@@ -542,7 +542,7 @@
     for (const auto& [id, other] : workers)
       for (const auto& [name, task] : other.runs)
         if (name.task == start.id.task &&
-            task.state == platform::task_state::running)
+            task.state == external::task_state::running)
           ++copies;
     if (copies > 1)
       violations.push_back("two runs of " + start.id.task);
--- /dev/null
+++ b/packages/dispatch/include/dispatch/leader.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "batch/job_directory.h"
+#include "batch/scheduler.h"
+#include "dispatch/fleet_config.h"
+#include "dispatch/record_writer.h"
+#include "dispatch/reporter.h"
+#include "dispatch/topic_follower.h"
+#include "dispatch/worker_links.h"
+#include "external/keyed_store.h"
+#include "external/worker_gateway.h"
+#include "http/event_loop.h"
+#include "model/types.h"
+
+namespace vanillaladder::dispatch {
+
+struct leader_options {
+  batch::scheduler_options scheduling;
+  link_options links;
+  /// Time without news after which a plan is made all the same.
+  std::chrono::milliseconds tick{100};
+  /// Least time between two plans; what comes meanwhile shares one append.
+  std::chrono::milliseconds plan_pause{15};
+};
+
+/// What a leader shares with its daemon.
+struct leader_context {
+  http::event_loop& loop;
+  external::keyed_store& store;
+  const batch::job_directory& jobs;
+  const config_view& config;
+  topic_follower& jobs_follower;
+  reporter report;
+  /// Whether orders and appends may be sent now.
+  std::function<bool()> may_act;
+  /// Called when a later leader exists; the leader is to be destroyed.
+  std::function<void(std::string_view by_whom)> superseded;
+};
+
+/// One leadership: from the takeover to its end.
+class leader {
+ public:
+  leader(leader_context context, leader_options options,
+         std::unique_ptr<external::worker_gateway> gateway,
+         model::epoch epoch);
+  ~leader();
+  leader(const leader&) = delete;
+  leader& operator=(const leader&) = delete;
+
+  /// Shuts out earlier leaders, then reads what they have stored.
+  void start();
+
+  // News of the topics that the daemon follows.
+  void on_job(const model::job_id& id, batch::job_directory::change change);
+  void on_config();
+  void on_worker(const batch::worker_entry& entry);
+  void on_worker_gone(const model::worker_id& id);
+
+  /// @return whether it has taken over and gives orders.
+  bool active() const;
+
+ private:
+  struct impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace vanillaladder::dispatch
--- /dev/null
+++ b/packages/dispatch/include/dispatch/scheduling_daemon.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "batch/job_directory.h"
+#include "dispatch/fleet_config.h"
+#include "dispatch/job_desk.h"
+#include "dispatch/leader.h"
+#include "dispatch/leadership.h"
+#include "dispatch/reporter.h"
+#include "dispatch/settings.h"
+#include "dispatch/topic_follower.h"
+#include "external/keyed_store.h"
+#include "external/worker_gateway.h"
+#include "http/event_loop.h"
+
+namespace vanillaladder::dispatch {
+
+/// The parts of one daemon: copies of the topics, its place in the group, and
+/// the leadership while it has it.
+class scheduling_daemon {
+ public:
+  using gateway_factory =
+      std::function<std::unique_ptr<external::worker_gateway>()>;
+
+  scheduling_daemon(http::event_loop& loop, const daemon_settings& settings,
+                    external::keyed_store& store,
+                    const record_decoder& decoder,
+                    gateway_factory make_gateway, reporter report);
+  ~scheduling_daemon();
+  scheduling_daemon(const scheduling_daemon&) = delete;
+  scheduling_daemon& operator=(const scheduling_daemon&) = delete;
+
+  void start();
+  /// Hands the leadership on; calls are still answered.
+  /// @param done called once that is done, or after a short time.
+  void leave(std::function<void()> done);
+  job_desk& desk() { return desk_; }
+  /// @return whether new connections should come here.
+  bool ready() const { return !leaving_ && desk_.ready(); }
+
+ private:
+  void apply_job(std::string_view key, std::string_view value);
+  void apply_operator(std::string_view key, std::string_view value);
+  void apply_worker(std::string_view key, std::string_view value);
+  void keep_domains(const std::set<std::string>& keys);
+  void keep_workers(const std::set<std::string>& keys);
+  void begin_leading(model::epoch epoch);
+  void end_leading();
+
+  http::event_loop& loop_;
+  daemon_settings settings_;
+  external::keyed_store& store_;
+  const record_decoder& decoder_;
+  gateway_factory make_gateway_;
+  reporter report_;
+  batch::job_directory jobs_;
+  config_view config_;
+  std::map<model::worker_id, batch::worker_entry> workers_;
+  topic_follower jobs_follower_;
+  topic_follower operator_follower_;
+  topic_follower worker_follower_;
+  job_desk desk_;
+  leadership leadership_;
+  std::unique_ptr<leader> leader_;
+  bool leaving_ = false;
+};
+
+}  // namespace vanillaladder::dispatch
--- /dev/null
+++ b/packages/dispatch/src/job_desk.cc
@@ -0,0 +1,149 @@
+#include "dispatch/job_desk.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+
+#include "batch/job_records.h"
+#include "dispatch/clock.h"
+#include "runtime/error.h"
+
+namespace vanillaladder::dispatch {
+
+job_desk::job_desk(
+    external::keyed_store& store, const batch::job_directory& jobs,
+    const config_view& config, topic_follower& follower,
+    std::function<void(std::string_view, std::string_view)> on_own_record,
+    reporter report)
+    : store_(&store),
+      jobs_(&jobs),
+      config_(&config),
+      follower_(&follower),
+      on_own_record_(std::move(on_own_record)),
+      report_(report) {}
+
+const queue_route* job_desk::find_queue(std::string_view host,
+                                        std::string_view path) const {
+  return config_->find_queue(host, path);
+}
+
+bool job_desk::ready() const {
+  return config_->known() && follower_->loaded() &&
+         boot_now() - follower_->fresh_at() < stale_after;
+}
+
+void job_desk::submit(const queue_route& queue, batch::job_spec spec,
+                      std::function<void(submit_result)> done) {
+  if (const auto* known = jobs_->find(spec.id); known != nullptr) {
+    report_.event("desk", absl::StrCat("submit_repeated id=", spec.id,
+                                       " state=",
+                                       std::string(batch::name_of(
+                                           known->shown_state()))));
+    done(submit_result::accepted);
+    return;
+  }
+  spec.queue = queue.name;
+  spec.policy = queue.policy;
+  spec.accepted = wall_now();
+  batch::topic_record record{
+      to_string(batch::job_record_key{batch::record_kind::job, spec.id}),
+      encode(spec)};
+  std::array records = {record};
+  store_->append(
+      std::string(batch::jobs_topic), records, std::nullopt,
+      [this, record, id = spec.id, sent = boot_now(),
+       done = std::move(done)](absl::StatusOr<model::offset> end) {
+        auto took = std::chrono::duration_cast<model::milliseconds>(
+            boot_now() - sent);
+        auto result = submit_result::unknown;
+        if (end.ok()) {
+          result = submit_result::accepted;
+          on_own_record_(record.key, record.value);
+          report_.event("desk",
+                        absl::StrCat("submit_accepted id=", id, " end=", *end,
+                                     " append_ms=", took.count()));
+        } else {
+          if (absl::IsUnavailable(end.status())) {
+            result = submit_result::refused;
+          }
+          report_.event(
+              "desk",
+              absl::StrCat("submit_not_stored id=", id, " certain=",
+                           result == submit_result::refused, " append_ms=",
+                           took.count(),
+                           " error=", runtime::error_message(end.status())));
+        }
+        done(result);
+      });
+}
+
+void job_desk::show(const model::job_id& id,
+                    std::function<void(job_answer)> done) {
+  if (const auto* known = jobs_->find(id); known != nullptr) {
+    done({job_answer::kind::known, known->shown_state()});
+    return;
+  }
+  // The job may be newer than this copy.
+  follower_->refresh([this, id, done = std::move(done)](bool fresh) {
+    if (const auto* known = jobs_->find(id); known != nullptr) {
+      done({job_answer::kind::known, known->shown_state()});
+      return;
+    }
+    report_.event("desk", absl::StrCat("show_unknown id=", id,
+                                       " fresh=", fresh));
+    done({fresh ? job_answer::kind::no_such_job
+                : job_answer::kind::unavailable,
+          {}});
+  });
+}
+
+void job_desk::cancel(const model::job_id& id,
+                      std::function<void(cancel_result)> done) {
+  if (jobs_->find(id) != nullptr) {
+    cancel_known(id, std::move(done));
+    return;
+  }
+  follower_->refresh([this, id, done = std::move(done)](bool fresh) mutable {
+    if (jobs_->find(id) != nullptr) {
+      cancel_known(id, std::move(done));
+      return;
+    }
+    report_.event("desk", absl::StrCat("cancel_unknown id=", id,
+                                       " fresh=", fresh));
+    done(fresh ? cancel_result::no_such_job : cancel_result::unavailable);
+  });
+}
+
+void job_desk::cancel_known(const model::job_id& id,
+                            std::function<void(cancel_result)> done) {
+  if (batch::has_ended(jobs_->find(id)->shown_state())) {
+    done(cancel_result::cancelled);
+    return;
+  }
+  batch::topic_record record{
+      to_string(batch::job_record_key{batch::record_kind::cancellation, id}),
+      "1"};
+  std::array records = {record};
+  store_->append(
+      std::string(batch::jobs_topic), records, std::nullopt,
+      [this, record, id,
+       done = std::move(done)](absl::StatusOr<model::offset> end) {
+        if (end.ok()) {
+          on_own_record_(record.key, record.value);
+          report_.event("desk", absl::StrCat("cancel_accepted id=", id,
+                                             " end=", *end));
+        } else {
+          report_.event(
+              "desk", absl::StrCat("cancel_not_stored id=", id, " error=",
+                                   runtime::error_message(end.status())));
+        }
+        done(end.ok() ? cancel_result::cancelled
+                      : cancel_result::unavailable);
+      });
+}
+
+int job_desk::pending(const queue_route& queue) const {
+  return jobs_->pending(queue.name);
+}
+
+}  // namespace vanillaladder::dispatch
--- /dev/null
+++ b/packages/dispatch/src/leader.cc
@@ -0,0 +1,368 @@
+#include "dispatch/leader.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "batch/job_records.h"
+#include "dispatch/clock.h"
+#include "runtime/error.h"
+
+namespace vanillaladder::dispatch {
+namespace {
+
+constexpr std::chrono::milliseconds retry_pause{100};
+/// How often ended jobs are looked through for those to forget.
+constexpr std::chrono::seconds sweep_interval{10};
+
+}  // namespace
+
+struct leader::impl : std::enable_shared_from_this<leader::impl> {
+  impl(leader_context context_in, leader_options options_in,
+       std::unique_ptr<external::worker_gateway> gateway_in,
+       model::epoch epoch_in)
+      : context(std::move(context_in)),
+        options(std::move(options_in)),
+        gateway(std::move(gateway_in)),
+        epoch(epoch_in),
+        scheduler(options.scheduling, boot_now(),
+                  [report = context.report](std::string line) {
+                    report.event("scheduler", line);
+                  }),
+        progress_writer(context.loop, context.store,
+                        std::string(batch::progress_topic), "leader", epoch,
+                        context.may_act, context.report),
+        jobs_writer(context.loop, context.store,
+                    std::string(batch::jobs_topic), "leader", epoch,
+                    context.may_act, context.report) {}
+
+  void open_writers();
+  void load_progress(const std::string& after);
+  void take_over();
+  void on_closed_domains();
+  void add_known_job(const model::job_id& id,
+                     const batch::job_directory::entry& job);
+  void plan_soon();
+  void plan();
+  void store(batch::commit commit);
+  void stored_part();
+  void tick();
+  void sweep();
+  void superseded(std::string_view by_whom);
+  void later(std::chrono::milliseconds pause, std::function<void()> step);
+
+  leader_context context;
+  leader_options options;
+  std::unique_ptr<external::worker_gateway> gateway;
+  model::epoch epoch;
+  batch::scheduler scheduler;
+  record_writer progress_writer;
+  record_writer jobs_writer;
+  std::unique_ptr<worker_links> links;
+  std::vector<batch::topic_record> progress;
+  absl::flat_hash_map<std::string, batch::worker_entry> workers;
+  model::time_point started = boot_now();
+  model::time_point planned_at;
+  bool active = false;
+  bool stopped = false;
+  bool plan_due = false;
+  int parts_in_flight = 0;
+  model::time_point swept_at = boot_now();
+};
+
+void leader::impl::later(std::chrono::milliseconds pause,
+                         std::function<void()> step) {
+  context.loop.call_after(
+      pause, [self = shared_from_this(), step = std::move(step)] {
+        if (!self->stopped) {
+          step();
+        }
+      });
+}
+
+void leader::impl::superseded(std::string_view by_whom) {
+  if (stopped) {
+    return;
+  }
+  stopped = true;
+  // Deferred: this destroys the parts that have called us.
+  context.loop.call_after(std::chrono::milliseconds(0),
+                          [notify = context.superseded,
+                           who = std::string(by_whom)] { notify(who); });
+}
+
+void leader::impl::open_writers() {
+  auto opened = [self = shared_from_this()](
+                    absl::StatusOr<model::offset> end) {
+    if (!end.ok()) {
+      self->superseded("store");
+      return;
+    }
+    self->jobs_writer.open([self](absl::StatusOr<model::offset> jobs_end) {
+      if (!jobs_end.ok()) {
+        self->superseded("store");
+        return;
+      }
+      self->context.report.event(
+          "leader", absl::StrCat("earlier_leaders_fenced epoch=", self->epoch,
+                                 " jobs_end=", *jobs_end));
+      self->context.jobs_follower.refresh([](bool) {});
+      self->context.jobs_follower.when_reached(*jobs_end, [self] {
+        if (!self->stopped) {
+          self->load_progress("");
+        }
+      });
+    });
+  };
+  progress_writer.open(opened);
+}
+
+void leader::impl::load_progress(const std::string& after) {
+  context.store.newest(
+      std::string(batch::progress_topic), after,
+      [self = shared_from_this(),
+       after](absl::StatusOr<external::newest_page> page) {
+        if (self->stopped) {
+          return;
+        }
+        if (!page.ok()) {
+          self->later(retry_pause,
+                      [self, after] { self->load_progress(after); });
+          return;
+        }
+        self->progress.insert(self->progress.end(), page->records.begin(),
+                              page->records.end());
+        if (page->more && !page->records.empty()) {
+          self->load_progress(page->records.back().key);
+        } else {
+          self->take_over();
+        }
+      });
+}
+
+void leader::impl::add_known_job(const model::job_id& id,
+                                 const batch::job_directory::entry& job) {
+  if (job.spec == nullptr) {
+    return;
+  }
+  auto now = boot_now();
+  scheduler.add_job(job.spec, now, wall_now());
+  if (batch::has_ended(job.status.state)) {
+    scheduler.end_job(id, job.status.state, now);
+  }
+}
+
+void leader::impl::take_over() {
+  scheduler.set_queues(context.config.policies());
+  on_closed_domains();
+  context.jobs.for_each([this](const auto& id, const auto& job) {
+    add_known_job(id, job);
+  });
+  int unreadable = 0;
+  for (const auto& record : progress) {
+    auto key = batch::parse_step_key(record.key);
+    auto tasks = batch::decode_tasks(record.value);
+    if (!key || !tasks.ok()) {
+      ++unreadable;
+      continue;
+    }
+    if (!scheduler.restore(*key, *tasks, boot_now())) {
+      scheduler.drop_progress(*key);
+    }
+  }
+  context.jobs.for_each([this](const auto& id, const auto& job) {
+    if (job.cancelled && job.spec != nullptr) {
+      scheduler.cancel_job(id, boot_now());
+    }
+  });
+  auto took = std::chrono::duration_cast<model::milliseconds>(boot_now() -
+                                                              started);
+  context.report.event(
+      "leader",
+      absl::StrCat("took_over epoch=", epoch, " jobs=", scheduler.jobs(),
+                   " steps=", progress.size(), " unreadable=", unreadable,
+                   " workers=", workers.size(), " took_ms=", took.count()));
+  progress.clear();
+  links = std::make_unique<worker_links>(
+      context.loop, *gateway, scheduler, epoch, options.links,
+      context.may_act,
+      worker_links::listener{[this] { plan_soon(); },
+                             [this] { superseded("worker"); }},
+      context.report);
+  active = true;
+  for (const auto& [id, entry] : workers) {
+    scheduler.update_worker(entry, boot_now());
+    links->update(entry);
+  }
+  tick();
+}
+
+void leader::impl::on_closed_domains() {
+  const auto& closed = context.config.closed_domains();
+  scheduler.set_closed_domains({closed.begin(), closed.end()});
+}
+
+void leader::impl::tick() {
+  later(options.tick, [this] { tick(); });
+  if (boot_now() - swept_at > sweep_interval) {
+    sweep();
+  }
+  plan();
+}
+
+/// Forgets the states of jobs that ended long ago.
+void leader::impl::sweep() {
+  swept_at = boot_now();
+  auto oldest = wall_now() - options.scheduling.state_retention.count();
+  context.jobs.for_each([&](const auto& id, const auto& job) {
+    if (batch::has_ended(job.status.state) && job.status.since < oldest) {
+      scheduler.drop_state(id);
+    }
+  });
+}
+
+void leader::impl::plan_soon() {
+  if (plan_due || parts_in_flight > 0 || !active) {
+    return;
+  }
+  plan_due = true;
+  auto next = planned_at + options.plan_pause;
+  auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+      next - boot_now());
+  later(std::max(wait, std::chrono::milliseconds(1)), [this] {
+    plan_due = false;
+    plan();
+  });
+}
+
+void leader::impl::plan() {
+  if (parts_in_flight > 0 || !active || !context.may_act()) {
+    return;
+  }
+  planned_at = boot_now();
+  auto commit = scheduler.plan(planned_at, wall_now());
+  auto at_once = scheduler.take_orders();
+  links->send(at_once);
+  if (commit.empty()) {
+    scheduler.committed();
+    return;
+  }
+  store(std::move(commit));
+}
+
+void leader::impl::store(batch::commit commit) {
+  // Held until both parts are stored, so that `plan` waits for them.
+  parts_in_flight = 1;
+  auto done = [self = shared_from_this()](const absl::Status& status) {
+    if (!status.ok()) {
+      self->context.report.event(
+          "leader", absl::StrCat("append_refused error=",
+                                 runtime::error_message(status)));
+      self->superseded("store");
+      return false;
+    }
+    return true;
+  };
+  if (!commit.progress.empty()) {
+    ++parts_in_flight;
+    progress_writer.append(
+        commit.progress, [self = shared_from_this(), done,
+                          orders = std::move(commit.orders)](
+                             absl::StatusOr<model::offset> end) {
+          if (done(end.status())) {
+            self->scheduler.committed();
+            self->links->send(orders);
+            self->stored_part();
+          }
+        });
+  }
+  if (!commit.jobs.empty()) {
+    ++parts_in_flight;
+    jobs_writer.append(commit.jobs,
+                       [self = shared_from_this(),
+                        done](absl::StatusOr<model::offset> end) {
+                         if (done(end.status())) {
+                           self->stored_part();
+                         }
+                       });
+  }
+  stored_part();
+}
+
+void leader::impl::stored_part() {
+  if (--parts_in_flight == 0) {
+    scheduler.committed();
+    if (scheduler.has_news()) {
+      plan_soon();
+    }
+  }
+}
+
+leader::leader(leader_context context, leader_options options,
+               std::unique_ptr<external::worker_gateway> gateway,
+               model::epoch epoch)
+    : impl_(std::make_shared<impl>(std::move(context), std::move(options),
+                                   std::move(gateway), epoch)) {}
+
+leader::~leader() {
+  impl_->stopped = true;
+  impl_->links.reset();
+  impl_->gateway.reset();
+}
+
+void leader::start() {
+  impl_->open_writers();
+}
+
+void leader::on_job(const model::job_id& id,
+                    batch::job_directory::change change) {
+  if (!impl_->active) {
+    return;
+  }
+  const auto* job = impl_->context.jobs.find(id);
+  using kind = batch::job_directory::change;
+  if (job != nullptr && change == kind::job_added) {
+    impl_->scheduler.add_job(job->spec, boot_now(), wall_now());
+    if (job->cancelled) {
+      impl_->scheduler.cancel_job(id, boot_now());
+    }
+  } else if (change == kind::job_cancelled) {
+    impl_->scheduler.cancel_job(id, boot_now());
+  } else if (change == kind::job_repeated) {
+    impl_->scheduler.drop_repeated(id);
+  } else {
+    return;
+  }
+  impl_->plan_soon();
+}
+
+void leader::on_config() {
+  if (impl_->active) {
+    impl_->scheduler.set_queues(impl_->context.config.policies());
+    impl_->on_closed_domains();
+    impl_->plan_soon();
+  }
+}
+
+void leader::on_worker(const batch::worker_entry& entry) {
+  impl_->workers.insert_or_assign(entry.info.id, entry);
+  if (impl_->active) {
+    impl_->scheduler.update_worker(entry, boot_now());
+    impl_->links->update(entry);
+    impl_->plan_soon();
+  }
+}
+
+void leader::on_worker_gone(const model::worker_id& id) {
+  impl_->workers.erase(id);
+  if (impl_->active) {
+    impl_->scheduler.remove_worker(id);
+  }
+}
+
+bool leader::active() const {
+  return impl_->active;
+}
+
+}  // namespace vanillaladder::dispatch
--- /dev/null
+++ b/packages/dispatch/src/record_writer.cc
@@ -0,0 +1,110 @@
+#include "dispatch/record_writer.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <vector>
+
+#include "runtime/error.h"
+
+namespace vanillaladder::dispatch {
+namespace {
+
+constexpr std::chrono::milliseconds retry_pause{100};
+
+}  // namespace
+
+struct record_writer::impl : std::enable_shared_from_this<record_writer::impl> {
+  impl(http::event_loop& loop_in, external::keyed_store& store_in,
+       std::string topic_in, std::string writer_in, model::epoch epoch_in,
+       std::function<bool()> may_write_in, reporter report_in)
+      : loop(loop_in),
+        store(store_in),
+        topic(std::move(topic_in)),
+        writer(std::move(writer_in)),
+        epoch(epoch_in),
+        may_write(std::move(may_write_in)),
+        report(report_in) {}
+
+  void send(callback done);
+  void retry(callback done);
+
+  http::event_loop& loop;
+  external::keyed_store& store;
+  std::string topic;
+  std::string writer;
+  model::epoch epoch;
+  std::function<bool()> may_write;
+  reporter report;
+  std::int64_t sequence = 0;
+  std::vector<batch::topic_record> records;
+  bool in_touch = true;
+  bool stopped = false;
+};
+
+void record_writer::impl::retry(callback done) {
+  loop.call_after(retry_pause,
+                  [self = shared_from_this(), done = std::move(done)]() mutable {
+                    if (!self->stopped) {
+                      self->send(std::move(done));
+                    }
+                  });
+}
+
+void record_writer::impl::send(callback done) {
+  if (!may_write()) {
+    retry(std::move(done));
+    return;
+  }
+  store.append(
+      topic, records, external::append_writer{writer, epoch, sequence},
+      [self = shared_from_this(),
+       done = std::move(done)](absl::StatusOr<model::offset> end) mutable {
+        if (self->stopped) {
+          return;
+        }
+        bool repeat = absl::IsUnavailable(end.status()) ||
+                      absl::IsUnknown(end.status());
+        if (repeat) {
+          if (self->in_touch) {
+            self->in_touch = false;
+            self->report.event(
+                "writer",
+                absl::StrCat("append_retried topic=", self->topic,
+                             " sequence=", self->sequence, " error=",
+                             runtime::error_message(end.status())));
+          }
+          self->report.count("vanillaladder_store_append_retries_total",
+                             "topic", self->topic);
+          self->retry(std::move(done));
+          return;
+        }
+        self->in_touch = true;
+        done(std::move(end));
+      });
+}
+
+record_writer::record_writer(http::event_loop& loop,
+                             external::keyed_store& store, std::string topic,
+                             std::string writer, model::epoch epoch,
+                             std::function<bool()> may_write, reporter report)
+    : impl_(std::make_shared<impl>(loop, store, std::move(topic),
+                                   std::move(writer), epoch,
+                                   std::move(may_write), report)) {}
+
+record_writer::~record_writer() {
+  impl_->stopped = true;
+}
+
+void record_writer::open(callback done) {
+  impl_->records.clear();
+  impl_->send(std::move(done));
+}
+
+void record_writer::append(std::span<const batch::topic_record> records,
+                           callback done) {
+  impl_->records.assign(records.begin(), records.end());
+  ++impl_->sequence;
+  impl_->send(std::move(done));
+}
+
+}  // namespace vanillaladder::dispatch
--- /dev/null
+++ b/packages/dispatch/src/reporter.cc
@@ -0,0 +1,11 @@
+#include "dispatch/reporter.h"
+
+#include "dispatch/clock.h"
+
+namespace vanillaladder::dispatch {
+
+void reporter::event(std::string_view part, std::string_view line) const {
+  log_->write(part, line, boot_now(), wall_now());
+}
+
+}  // namespace vanillaladder::dispatch
--- /dev/null
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -0,0 +1,236 @@
+#include "dispatch/scheduling_daemon.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "batch/job_records.h"
+#include "batch/lease_bound.h"
+#include "dispatch/clock.h"
+#include "runtime/error.h"
+
+namespace vanillaladder::dispatch {
+namespace {
+
+// A copy that callers ask may lag this much; each read is priced.
+constexpr std::chrono::milliseconds follower_pause{150};
+// The leader's copy decides when a job starts.
+constexpr std::chrono::milliseconds leader_pause{15};
+// Workers write an entry each heartbeat of a second or more.
+constexpr std::chrono::milliseconds worker_pause{250};
+constexpr std::chrono::milliseconds long_wait{1000};
+
+/// Longest that an earlier leader may give orders after another one has taken
+/// over, beyond the lease that its last order may have given.
+constexpr std::chrono::milliseconds handover_slack{300};
+
+constexpr std::string_view leader_group = "leaders";
+constexpr std::string_view leader_topic = "leader";
+
+std::chrono::milliseconds slowed(std::chrono::milliseconds lease) {
+  return std::chrono::milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(lease.count()) / batch::lease_bound::slowest_clock));
+}
+
+leadership_options leadership_options_of(const daemon_settings& settings) {
+  leadership_options options;
+  options.group = leader_group;
+  // A restarted process must not pass for its predecessor.
+  options.member = absl::StrCat(settings.instance, "-",
+                                boot_now().time_since_epoch().count());
+  options.topic = leader_topic;
+  return options;
+}
+
+}  // namespace
+
+scheduling_daemon::scheduling_daemon(http::event_loop& loop,
+                                     const daemon_settings& settings,
+                                     external::keyed_store& store,
+                                     const record_decoder& decoder,
+                                     gateway_factory make_gateway,
+                                     reporter report)
+    : loop_(loop),
+      settings_(settings),
+      store_(store),
+      decoder_(decoder),
+      make_gateway_(std::move(make_gateway)),
+      report_(report),
+      jobs_follower_(
+          loop, store,
+          {std::string(batch::jobs_topic), long_wait, follower_pause},
+          {[this](auto key, auto value) { apply_job(key, value); }, {}},
+          report),
+      operator_follower_(
+          loop, store, {decoder.operator_topic(), long_wait, {}},
+          {[this](auto key, auto value) { apply_operator(key, value); },
+           [this](const auto& keys) { keep_domains(keys); }},
+          report),
+      worker_follower_(
+          loop, store, {decoder.worker_topic(), long_wait, worker_pause},
+          {[this](auto key, auto value) { apply_worker(key, value); },
+           [this](const auto& keys) { keep_workers(keys); }},
+          report),
+      desk_(store, jobs_, config_, jobs_follower_,
+            [this](auto key, auto value) { apply_job(key, value); }, report),
+      leadership_(loop, store, leadership_options_of(settings),
+                  {[this](model::epoch epoch) { begin_leading(epoch); },
+                   [this] { end_leading(); }},
+                  report) {}
+
+scheduling_daemon::~scheduling_daemon() = default;
+
+void scheduling_daemon::start() {
+  operator_follower_.start();
+  jobs_follower_.start();
+  worker_follower_.start();
+  leadership_.start();
+}
+
+void scheduling_daemon::leave(std::function<void()> done) {
+  leaving_ = true;
+  report_.event("daemon", absl::StrCat("leaving leads=", leader_ != nullptr));
+  end_leading();
+  leadership_.leave(std::move(done));
+}
+
+void scheduling_daemon::apply_job(std::string_view key,
+                                  std::string_view value) {
+  auto change = jobs_.apply(key, value);
+  if (change == batch::job_directory::change::unreadable) {
+    report_.count("vanillaladder_records_unreadable_total", "topic",
+                  batch::jobs_topic);
+    report_.event("daemon", absl::StrCat("record_unreadable topic=",
+                                         std::string(batch::jobs_topic),
+                                         " key=", std::string(key)));
+    return;
+  }
+  if (leader_ != nullptr) {
+    if (auto parsed = batch::parse_job_record_key(key)) {
+      leader_->on_job(parsed->job, change);
+    }
+  }
+}
+
+void scheduling_daemon::apply_operator(std::string_view key,
+                                       std::string_view value) {
+  auto record = decoder_.decode_operator(key, value);
+  if (!record.ok()) {
+    report_.count("vanillaladder_records_unreadable_total", "topic",
+                  decoder_.operator_topic());
+    report_.event("daemon",
+                  absl::StrCat("record_unreadable key=", std::string(key),
+                               " error=",
+                               runtime::error_message(record.status())));
+    return;
+  }
+  if (auto* config = std::get_if<fleet_config>(&*record)) {
+    auto version = config->version;
+    bool taken = config_.apply(std::move(*config));
+    report_.event("daemon", absl::StrCat("config version=", version,
+                                         " taken=", taken,
+                                         " in_force=", config_.version()));
+  } else if (auto* closing = std::get_if<domain_closing>(&*record)) {
+    if (value.empty()) {
+      config_.open_domain(closing->domain);
+    } else {
+      config_.close_domain(closing->domain);
+    }
+    report_.event("daemon", absl::StrCat("domain name=", closing->domain,
+                                         " closed=", !value.empty()));
+  }
+  if (leader_ != nullptr) {
+    leader_->on_config();
+  }
+}
+
+void scheduling_daemon::keep_domains(const std::set<std::string>& keys) {
+  std::set<model::domain_id> closed;
+  for (const auto& key : keys) {
+    // Any value stands for a record that exists.
+    auto record = decoder_.decode_operator(key, "");
+    if (record.ok()) {
+      if (auto* closing = std::get_if<domain_closing>(&*record)) {
+        closed.insert(closing->domain);
+      }
+    }
+  }
+  config_.keep_closed(closed);
+  if (leader_ != nullptr) {
+    leader_->on_config();
+  }
+}
+
+void scheduling_daemon::apply_worker(std::string_view key,
+                                     std::string_view value) {
+  model::worker_id id(key);
+  if (value.empty()) {
+    workers_.erase(id);
+    if (leader_ != nullptr) {
+      leader_->on_worker_gone(id);
+    }
+    return;
+  }
+  auto entry = decoder_.decode_worker(key, value);
+  if (!entry.ok()) {
+    report_.count("vanillaladder_records_unreadable_total", "topic",
+                  decoder_.worker_topic());
+    return;
+  }
+  auto& known = workers_[id];
+  if (known == *entry) {
+    return;
+  }
+  known = std::move(*entry);
+  if (leader_ != nullptr) {
+    leader_->on_worker(known);
+  }
+}
+
+void scheduling_daemon::keep_workers(const std::set<std::string>& keys) {
+  std::erase_if(workers_, [&](const auto& each) {
+    if (keys.contains(each.first)) {
+      return false;
+    }
+    if (leader_ != nullptr) {
+      leader_->on_worker_gone(each.first);
+    }
+    return true;
+  });
+}
+
+void scheduling_daemon::begin_leading(model::epoch epoch) {
+  end_leading();
+  leader_options options;
+  options.scheduling.longest_lease = settings_.longest_lease;
+  options.scheduling.earlier_leases = leadership_options().lifetime +
+                                      slowed(settings_.longest_lease) +
+                                      handover_slack;
+  options.scheduling.state_retention = 2 * settings_.state_retention;
+  options.scheduling.early = settings_.early_start / 2;
+  options.links.lease = settings_.longest_lease;
+  leader_context context{loop_,          store_,
+                         jobs_,          config_,
+                         jobs_follower_, report_,
+                         [this] { return leadership_.valid(); },
+                         [this](std::string_view by_whom) {
+                           leadership_.superseded(by_whom);
+                         }};
+  jobs_follower_.set_pause(leader_pause);
+  leader_ = std::make_unique<leader>(std::move(context), options,
+                                     make_gateway_(), epoch);
+  for (const auto& [id, entry] : workers_) {
+    leader_->on_worker(entry);
+  }
+  leader_->start();
+}
+
+void scheduling_daemon::end_leading() {
+  if (leader_ == nullptr) {
+    return;
+  }
+  report_.event("daemon", absl::StrCat("leading_ended epoch=",
+                                       leadership_.epoch()));
+  leader_.reset();
+  jobs_follower_.set_pause(follower_pause);
+}
+
+}  // namespace vanillaladder::dispatch
--- /dev/null
+++ b/packages/dispatch/src/worker_links.cc
@@ -0,0 +1,363 @@
+#include "dispatch/worker_links.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+
+#include "batch/lease_bound.h"
+#include "dispatch/clock.h"
+#include "runtime/error.h"
+
+namespace vanillaladder::dispatch {
+namespace {
+
+using external::order_answer;
+
+constexpr std::string_view name_of(order_answer answer) {
+  switch (answer) {
+    case order_answer::done:
+      return "done";
+    case order_answer::fenced:
+      return "fenced";
+    case order_answer::run_passed:
+      return "run_passed";
+    case order_answer::too_late:
+      return "too_late";
+    case order_answer::no_room:
+      return "no_room";
+    case order_answer::no_ticket:
+      return "no_ticket";
+    case order_answer::unhealthy:
+      return "unhealthy";
+    case order_answer::other_worker:
+      return "other_worker";
+    case order_answer::invalid:
+      return "invalid";
+    case order_answer::not_sent:
+      return "not_sent";
+    case order_answer::unanswered:
+      return "unanswered";
+  }
+  return "unknown";
+}
+
+struct link {
+  batch::worker_entry entry;
+  bool reporting = false;
+  int failures = 0;
+};
+
+}  // namespace
+
+struct worker_links::impl : std::enable_shared_from_this<worker_links::impl> {
+  impl(http::event_loop& loop_in, external::worker_gateway& gateway_in,
+       batch::scheduler& decisions_in, model::epoch token_in,
+       const link_options& options_in, std::function<bool()> may_order_in,
+       listener to_in, reporter report_in)
+      : loop(loop_in),
+        gateway(gateway_in),
+        decisions(decisions_in),
+        token(token_in),
+        options(options_in),
+        may_order(std::move(may_order_in)),
+        to(std::move(to_in)),
+        report(report_in) {}
+
+  void ask(const model::worker_id& id);
+  void ask_later(const model::worker_id& id, std::chrono::milliseconds pause);
+  void take_report(const model::worker_id& id,
+                   absl::StatusOr<batch::worker_report> answer);
+  std::chrono::milliseconds new_deadline(const model::worker_id& id);
+
+  void send_start(const batch::start_order& order, int attempt,
+                  bool maybe_sent);
+  void send_stop(const batch::stop_order& order);
+  void send_pace(const batch::pace_order& order);
+  void later(std::chrono::milliseconds pause, std::function<void()> step);
+  void count(std::string_view what, order_answer answer);
+
+  http::event_loop& loop;
+  external::worker_gateway& gateway;
+  batch::scheduler& decisions;
+  model::epoch token;
+  link_options options;
+  std::function<bool()> may_order;
+  listener to;
+  reporter report;
+  absl::flat_hash_map<std::string, link> links;
+  bool stopped = false;
+};
+
+void worker_links::impl::later(std::chrono::milliseconds pause,
+                               std::function<void()> step) {
+  loop.call_after(pause,
+                  [self = shared_from_this(), step = std::move(step)] {
+                    if (!self->stopped) {
+                      step();
+                    }
+                  });
+}
+
+void worker_links::impl::count(std::string_view what, order_answer answer) {
+  report.count(absl::StrCat("vanillaladder_worker_", std::string(what),
+                            "_total"),
+               "answer", name_of(answer));
+}
+
+std::chrono::milliseconds worker_links::impl::new_deadline(
+    const model::worker_id& id) {
+  const auto* lease = decisions.lease_of(id);
+  if (lease == nullptr || !lease->clock_known()) {
+    return std::chrono::milliseconds(0);
+  }
+  auto deadline = lease->clock_at(boot_now()) + options.lease;
+  decisions.on_lease(id, deadline);
+  return deadline;
+}
+
+void worker_links::impl::ask_later(const model::worker_id& id,
+                                   std::chrono::milliseconds pause) {
+  later(pause, [this, id] { ask(id); });
+}
+
+void worker_links::impl::ask(const model::worker_id& id) {
+  auto found = links.find(id);
+  if (found == links.end() || found->second.reporting) {
+    return;
+  }
+  if (!decisions.wants_contact(id)) {
+    links.erase(found);
+    gateway.forget(id);
+    return;
+  }
+  if (!may_order()) {
+    ask_later(id, options.retry_pause);
+    return;
+  }
+  auto& link = found->second;
+  link.reporting = true;
+  external::report_request request;
+  request.token = token;
+  request.deadline = new_deadline(id);
+  request.stored_end = decisions.stored_end(id);
+  if (request.deadline.count() > 0 && link.failures == 0) {
+    request.wait = decisions.is_sensitive(id) ? options.sensitive_wait
+                                              : options.report_wait;
+  }
+  auto asked = boot_now();
+  gateway.report(link.entry.info, request, request.wait + options.answer_limit,
+                 [self = shared_from_this(), id,
+                  asked](absl::StatusOr<batch::worker_report> answer) {
+                   if (self->stopped) {
+                     return;
+                   }
+                   if (answer.ok()) {
+                     answer->asked = asked;
+                     answer->received = boot_now();
+                   }
+                   self->take_report(id, std::move(answer));
+                 });
+}
+
+void worker_links::impl::take_report(
+    const model::worker_id& id, absl::StatusOr<batch::worker_report> answer) {
+  auto found = links.find(id);
+  if (found == links.end()) {
+    return;
+  }
+  auto& link = found->second;
+  link.reporting = false;
+  if (absl::IsAborted(answer.status())) {
+    to.superseded();
+    return;
+  }
+  if (!answer.ok()) {
+    report.count("vanillaladder_worker_report_failures_total");
+    ++link.failures;
+    if (link.failures >= 2) {
+      decisions.on_unreachable(id, boot_now());
+    }
+    ask_later(id, link.failures < 2 ? options.retry_pause
+                                    : options.unreachable_pause);
+    return;
+  }
+  link.failures = 0;
+  decisions.on_report(id, *answer);
+  to.news();
+  // Not at once: ends that come together cost one report.
+  ask_later(id, std::chrono::milliseconds(20));
+}
+
+void worker_links::impl::send_start(const batch::start_order& order,
+                                    int attempt, bool maybe_sent) {
+  auto found = links.find(order.worker);
+  if (found == links.end()) {
+    decisions.on_start_result(order.worker, order.task, order.run,
+                              maybe_sent ? batch::start_outcome::unknown
+                                         : batch::start_outcome::not_run,
+                              boot_now());
+    to.news();
+    return;
+  }
+  if (!may_order()) {
+    later(options.retry_pause,
+          [this, order, attempt, maybe_sent] {
+            send_start(order, attempt, maybe_sent);
+          });
+    return;
+  }
+  external::order_permit permit{token, new_deadline(order.worker)};
+  gateway.start(
+      found->second.entry.info, order, permit, options.answer_limit,
+      [self = shared_from_this(), order, attempt,
+       maybe_sent](order_answer answer) {
+        if (self->stopped) {
+          return;
+        }
+        self->count("starts", answer);
+        using batch::start_outcome;
+        auto outcome = start_outcome::not_run;
+        switch (answer) {
+          case order_answer::fenced:
+            self->to.superseded();
+            return;
+          case order_answer::done:
+          // It was there before; the next report tells what became of it.
+          case order_answer::run_passed:
+            outcome = start_outcome::confirmed;
+            break;
+          case order_answer::unanswered:
+          case order_answer::not_sent:
+            if (attempt < self->options.start_attempts) {
+              self->send_start(
+                  order, attempt + 1,
+                  maybe_sent || answer == order_answer::unanswered);
+              return;
+            }
+            outcome = answer == order_answer::unanswered
+                          ? start_outcome::unknown
+                          : start_outcome::not_run;
+            break;
+          case order_answer::no_room:
+            outcome = start_outcome::no_room;
+            break;
+          case order_answer::unhealthy:
+            outcome = start_outcome::unhealthy;
+            break;
+          case order_answer::too_late:
+          case order_answer::no_ticket:
+          case order_answer::other_worker:
+          case order_answer::invalid:
+            break;
+        }
+        if (outcome != start_outcome::confirmed && maybe_sent) {
+          // An earlier attempt may still be carried out.
+          outcome = start_outcome::unknown;
+        }
+        if (answer != order_answer::done) {
+          self->report.event(
+              "links", absl::StrCat("start_answer task=",
+                                    batch::to_string(order.task), " run=",
+                                    order.run, " worker=", order.worker,
+                                    " answer=",
+                                    std::string(name_of(answer)),
+                                    " attempt=", attempt,
+                                    " maybe_sent=", maybe_sent));
+        }
+        self->decisions.on_start_result(order.worker, order.task, order.run,
+                                        outcome, boot_now());
+        self->to.news();
+      });
+}
+
+void worker_links::impl::send_stop(const batch::stop_order& order) {
+  auto found = links.find(order.worker);
+  if (found == links.end()) {
+    return;
+  }
+  if (!may_order()) {
+    later(options.retry_pause, [this, order] { send_stop(order); });
+    return;
+  }
+  gateway.stop(found->second.entry.info, order, token, options.answer_limit,
+               [self = shared_from_this(), order](order_answer answer) {
+                 if (self->stopped) {
+                   return;
+                 }
+                 self->count("stops", answer);
+                 if (answer == order_answer::fenced) {
+                   self->to.superseded();
+                 } else if (answer == order_answer::done) {
+                   self->decisions.on_stop_answered(order.worker, order.task,
+                                                    order.run, boot_now());
+                 } else {
+                   self->later(self->options.retry_pause,
+                               [self, order] { self->send_stop(order); });
+                 }
+               });
+}
+
+void worker_links::impl::send_pace(const batch::pace_order& order) {
+  auto found = links.find(order.worker);
+  if (found == links.end() || !may_order()) {
+    return;
+  }
+  // Not repeated here: the next report shows whether it was carried out.
+  gateway.pace(found->second.entry.info, order, token, options.answer_limit,
+               [self = shared_from_this()](order_answer answer) {
+                 if (self->stopped) {
+                   return;
+                 }
+                 self->count("paces", answer);
+                 if (answer == order_answer::fenced) {
+                   self->to.superseded();
+                 }
+               });
+}
+
+worker_links::worker_links(http::event_loop& loop,
+                           external::worker_gateway& gateway,
+                           batch::scheduler& decisions, model::epoch token,
+                           const link_options& options,
+                           std::function<bool()> may_order, listener to,
+                           reporter report)
+    : impl_(std::make_shared<impl>(loop, gateway, decisions, token, options,
+                                   std::move(may_order), std::move(to),
+                                   report)) {}
+
+worker_links::~worker_links() {
+  impl_->stopped = true;
+}
+
+void worker_links::update(const batch::worker_entry& entry) {
+  auto& link = impl_->links[entry.info.id];
+  bool is_new = link.entry.info.id.empty();
+  bool moved = link.entry.info.address != entry.info.address ||
+               link.entry.info.port != entry.info.port;
+  if (!is_new && moved) {
+    impl_->gateway.forget(entry.info.id);
+  }
+  link.entry = entry;
+  if (is_new) {
+    impl_->ask(entry.info.id);
+  }
+}
+
+void worker_links::send(std::span<const batch::order> orders) {
+  struct sender {
+    impl& links;
+    void operator()(const batch::start_order& order) const {
+      links.send_start(order, 1, false);
+    }
+    void operator()(const batch::stop_order& order) const {
+      links.send_stop(order);
+    }
+    void operator()(const batch::pace_order& order) const {
+      links.send_pace(order);
+    }
+  };
+  for (const auto& order : orders) {
+    std::visit(sender{*impl_}, order);
+  }
+}
+
+}  // namespace vanillaladder::dispatch
--- a/packages/platform/include/platform/error.h
+++ b/packages/external/include/external/error.h
@@ -8,7 +8,7 @@
 
 /// Typed interfaces to the outside systems: log service, workers and instance
 /// list, and an HTTP client for each.
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 
 /// Builds an error that tells whether the request may have taken effect.
 /// @param step what was being done, such as "append to control".
@@ -21,4 +21,4 @@
 ///   that do not tell count as possibly sent.
 bool possibly_sent(const absl::Status& status);
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/include/platform/http_instance_list.h
+++ b/packages/external/include/external/http_instance_list.h
@@ -5,9 +5,9 @@
 #include <string>
 
 #include "http/client.h"
-#include "platform/instance_list.h"
+#include "external/instance_list.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 
 struct http_instance_list_options {
   std::string address = "127.0.0.1";
@@ -37,4 +37,4 @@
   http::client client_;
 };
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/include/platform/http_log_service.h
+++ b/packages/external/include/external/http_log_service.h
@@ -5,9 +5,9 @@
 #include <string>
 
 #include "http/client.h"
-#include "platform/log_service.h"
+#include "external/log_service.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 
 struct http_log_options {
   std::string address = "127.0.0.1";
@@ -33,4 +33,4 @@
   http::client client_;
 };
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/include/platform/http_worker_service.h
+++ b/packages/external/include/external/http_worker_service.h
@@ -4,9 +4,9 @@
 #include <string>
 
 #include "http/client.h"
-#include "platform/worker_service.h"
+#include "external/worker_service.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 
 struct http_worker_options {
   /// Limit of one call.
@@ -46,4 +46,4 @@
   http::client client_;
 };
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/include/platform/instance_list.h
+++ b/packages/external/include/external/instance_list.h
@@ -10,7 +10,7 @@
 
 #include "model/types.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 
 /// An entry instance of the system as the instance list describes it.
 struct entry_info {
@@ -44,4 +44,4 @@
   virtual void fetch(fetch_callback done) = 0;
 };
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/include/platform/log_service.h
+++ b/packages/external/include/external/log_service.h
@@ -11,7 +11,7 @@
 
 #include "model/types.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 
 struct log_entry {
   model::offset offset = 0;
@@ -57,4 +57,4 @@
                     read_callback done) = 0;
 };
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/include/platform/worker_service.h
+++ b/packages/external/include/external/worker_service.h
@@ -11,7 +11,7 @@
 
 #include "model/types.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 
 using lease_id = std::string;
 
@@ -124,4 +124,4 @@
   virtual void list(const worker_address& worker, report_callback done) = 0;
 };
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/src/error.cc
+++ b/packages/external/src/error.cc
@@ -1,10 +1,10 @@
-#include "platform/error.h"
+#include "external/error.h"
 
 #include <absl/strings/cord.h>
 
 #include "runtime/error.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 namespace {
 
 constexpr std::string_view not_sent_url = "vanillaladder/not-sent";
@@ -27,4 +27,4 @@
          !status.GetPayload({not_sent_url.data(), not_sent_url.size()});
 }
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/src/http_instance_list.cc
+++ b/packages/external/src/http_instance_list.cc
@@ -1,11 +1,11 @@
-#include "platform/http_instance_list.h"
+#include "external/http_instance_list.h"
 
 #include <stdexcept>
 #include <utility>
 
 #include "json_call.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 namespace {
 
 constexpr std::int64_t highest_age_ms = std::int64_t{366} * 24 * 3600 * 1000;
@@ -122,4 +122,4 @@
   return snapshot;
 }
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/src/http_log_service.cc
+++ b/packages/external/src/http_log_service.cc
@@ -1,4 +1,4 @@
-#include "platform/http_log_service.h"
+#include "external/http_log_service.h"
 
 #include <absl/strings/escaping.h>
 
@@ -8,7 +8,7 @@
 
 #include "json_call.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 namespace {
 
 constexpr std::int64_t highest_offset = std::int64_t{1} << 50;
@@ -116,4 +116,4 @@
       });
 }
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/src/http_worker_service.cc
+++ b/packages/external/src/http_worker_service.cc
@@ -1,4 +1,4 @@
-#include "platform/http_worker_service.h"
+#include "external/http_worker_service.h"
 
 #include <limits>
 #include <stdexcept>
@@ -6,7 +6,7 @@
 
 #include "json_call.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 namespace {
 
 // Leases and measurements above a year are malformed.
@@ -222,4 +222,4 @@
       std::move(done), decode_report);
 }
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/src/json_call.cc
+++ b/packages/external/src/json_call.cc
@@ -4,7 +4,7 @@
 #include <utility>
 #include <variant>
 
-namespace vanillaladder::platform::detail {
+namespace vanillaladder::external::detail {
 namespace {
 
 // Above every size and time of the platform, and small enough for sums.
@@ -164,4 +164,4 @@
   return encoded;
 }
 
-}  // namespace vanillaladder::platform::detail
+}  // namespace vanillaladder::external::detail
--- a/packages/platform/src/json_call.h
+++ b/packages/external/src/json_call.h
@@ -12,9 +12,9 @@
 
 #include "http/client.h"
 #include "model/types.h"
-#include "platform/error.h"
+#include "external/error.h"
 
-namespace vanillaladder::platform::detail {
+namespace vanillaladder::external::detail {
 
 /// One HTTP exchange with a JSON answer.
 struct json_call {
@@ -87,4 +87,4 @@
 /// @return `text` with everything but unreserved characters as %XX.
 std::string percent_encode(std::string_view text);
 
-}  // namespace vanillaladder::platform::detail
+}  // namespace vanillaladder::external::detail
--- a/packages/platform/test/fake_peer.h
+++ b/packages/external/test/fake_peer.h
@@ -8,7 +8,7 @@
 #include "http/event_loop.h"
 #include "http/server.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 
 /// A server that gives one prepared answer to everything.
 struct fake_peer {
@@ -45,4 +45,4 @@
   }
 };
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/test/http_instance_list_test.cc
+++ b/packages/external/test/http_instance_list_test.cc
@@ -1,8 +1,8 @@
-#include "platform/http_instance_list.h"
+#include "external/http_instance_list.h"
 
 #include "fake_peer.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 namespace {
 
 using fetched = absl::StatusOr<instance_snapshot>;
@@ -80,4 +80,4 @@
   CHECK(second->workers.size() == 1);
 }
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/test/http_log_service_test.cc
+++ b/packages/external/test/http_log_service_test.cc
@@ -1,10 +1,10 @@
-#include "platform/http_log_service.h"
+#include "external/http_log_service.h"
 
 #include "fake_peer.h"
-#include "platform/error.h"
+#include "external/error.h"
 #include "runtime/error.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 namespace {
 
 using read_answer = absl::StatusOr<read_result>;
@@ -130,4 +130,4 @@
   CHECK(result.status().code() == absl::StatusCode::kResourceExhausted);
 }
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- a/packages/platform/test/http_worker_service_test.cc
+++ b/packages/external/test/http_worker_service_test.cc
@@ -1,9 +1,9 @@
-#include "platform/http_worker_service.h"
+#include "external/http_worker_service.h"
 
 #include "fake_peer.h"
 #include "runtime/error.h"
 
-namespace vanillaladder::platform {
+namespace vanillaladder::external {
 namespace {
 
 using report = absl::StatusOr<worker_report>;
@@ -100,4 +100,4 @@
   CHECK(runtime::error_peer(status).starts_with("worker w-1 127.0.0.1:"));
 }
 
-}  // namespace vanillaladder::platform
+}  // namespace vanillaladder::external
--- /dev/null
+++ b/packages/http/include/http/channel.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http/client.h"
+#include "http/event_loop.h"
+#include "http/message.h"
+
+struct lws_vhost;
+
+namespace vanillaladder::http {
+
+struct channel_options {
+  /// Connections that may be open at once.
+  std::size_t max_connections = 2;
+  /// Calls that may wait for a connection; further ones fail as not sent.
+  std::size_t max_waiting = 1024;
+  std::size_t max_response_bytes = 16U << 20;
+};
+
+/// What the channels of one event loop share.
+class transport {
+ public:
+  /// @param loop must outlive the transport.
+  explicit transport(event_loop& loop);
+  transport(const transport&) = delete;
+  transport& operator=(const transport&) = delete;
+
+  event_loop& loop() const { return *loop_; }
+
+ private:
+  friend class channel;
+  event_loop* loop_;
+  lws_vhost* vhost_ = nullptr;
+};
+
+/// HTTP/1.1 calls to one address over kept connections.
+///
+/// Each connection carries one call at a time and is closed when a call on it
+/// fails, so a silent connection costs one timeout. No call is repeated here.
+class channel {
+ public:
+  using callback = std::function<void(client_result)>;
+
+  /// @param shared must outlive the channel.
+  /// @param address IP address.
+  channel(transport& shared, std::string address, std::uint16_t port,
+          const channel_options& options);
+  /// Closes the connections and drops the calls without a result.
+  ~channel();
+  channel(const channel&) = delete;
+  channel& operator=(const channel&) = delete;
+
+  /// Sends a request on an idle connection, on a new one, or once one of the
+  /// `max_connections` is free.
+  /// @param timeout limit from this call to the end of the response.
+  /// @param done called once, on the loop's thread and never from inside
+  ///   `send`, unless the channel is destroyed first.
+  void send(request message, std::chrono::milliseconds timeout, callback done);
+
+  /// @return "address:port", for errors and logs.
+  const std::string& peer() const;
+  /// @return connections opened since the start.
+  std::uint64_t opened() const;
+
+ private:
+  friend class transport;
+  struct impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace vanillaladder::http
--- a/packages/http/include/http/message.h
+++ b/packages/http/include/http/message.h
@@ -20,14 +20,16 @@
   std::string method = "GET";
   /// Path with its query string, such as "/v1/jobs?team=a".
   std::string target = "/";
-  std::vector<header> headers;
-  std::string body;
+  std::vector<header> headers = {};
+  std::string body = {};
+  /// Host that the caller named; only set by the server.
+  std::string host = {};
 };
 
 struct response {
   int status = 200;
-  std::vector<header> headers;
-  std::string body;
+  std::vector<header> headers = {};
+  std::string body = {};
 };
 
 /// @return the value of the first header called `name` (lower case), or an
--- a/packages/http/src/event_loop.cc
+++ b/packages/http/src/event_loop.cc
@@ -15,6 +15,9 @@
 using clock = std::chrono::steady_clock;
 
 constexpr unsigned network_timeout_s = 600;
+// Largest read at once; the library's default of 4 KB splits a page of the
+// log into many wake-ups.
+constexpr unsigned read_buffer_bytes = 65536;
 
 void silence_library_log() {
   lws_set_log_level(LLL_ERR, nullptr);
@@ -96,6 +99,7 @@
   // The library's own limit of 5 s on an answer looks like a close by the
   // peer. Every exchange has a timer of its own, so this is only a backstop.
   info.timeout_secs = network_timeout_s;
+  info.pt_serv_buf_size = read_buffer_bytes;
   info.fd_limit_per_thread = max_descriptors;
   info.max_http_header_pool = static_cast<unsigned short>(max_descriptors);
   context = lws_create_context(&info);
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -59,6 +59,11 @@
     }
   }
   message.target += read_query(connection);
+  std::array<char, 256> host{};
+  if (lws_hdr_copy(connection, host.data(), static_cast<int>(host.size()),
+                   WSI_TOKEN_HOST) > 0) {
+    message.host = host.data();
+  }
   message.headers = detail::read_headers(connection);
   return message;
 }
--- /dev/null
+++ b/packages/runtime/src/event_log.cc
@@ -0,0 +1,66 @@
+#include "runtime/event_log.h"
+
+#include <absl/strings/str_cat.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace vanillaladder::runtime {
+
+event_log::event_log(int descriptor, std::string instance,
+                     const event_log_options& options)
+    : descriptor_(descriptor),
+      instance_(std::move(instance)),
+      options_(options),
+      lines_left_(options.burst) {
+  int flags = fcntl(descriptor_, F_GETFL);
+  if (flags >= 0) {
+    fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+bool event_log::take_line(time_point now) {
+  std::chrono::duration<double> passed = now - refilled_at_;
+  refilled_at_ = now;
+  lines_left_ = std::min(options_.burst,
+                         lines_left_ + passed.count() *
+                                           options_.lines_per_second);
+  if (lines_left_ < 1 || buffer_.size() >= options_.max_buffered_bytes) {
+    return false;
+  }
+  lines_left_ -= 1;
+  return true;
+}
+
+void event_log::write(std::string_view part, std::string_view event,
+                      time_point now, std::int64_t wall_ms) {
+  if (!take_line(now)) {
+    ++dropped_;
+    ++dropped_total_;
+    return;
+  }
+  if (dropped_ > 0) {
+    absl::StrAppend(&buffer_, wall_ms, " ", instance_, " log lines_dropped n=",
+                    dropped_, "\n");
+    dropped_ = 0;
+  }
+  absl::StrAppend(&buffer_, wall_ms, " ", instance_, " ",
+                  absl::string_view(part.data(), part.size()), " ",
+                  absl::string_view(event.data(), event.size()), "\n");
+}
+
+void event_log::flush() {
+  std::size_t written = 0;
+  while (written < buffer_.size()) {
+    auto count = ::write(descriptor_, buffer_.data() + written,
+                         buffer_.size() - written);
+    if (count <= 0) {
+      break;
+    }
+    written += static_cast<std::size_t>(count);
+  }
+  buffer_.erase(0, written);
+}
+
+}  // namespace vanillaladder::runtime
--- /dev/null
+++ b/packages/runtime/test/event_log_test.cc
@@ -0,0 +1,61 @@
+#include "runtime/event_log.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+
+namespace vanillaladder::runtime {
+namespace {
+
+struct pipe_ends {
+  std::array<int, 2> ends{};
+  pipe_ends() { REQUIRE(pipe(ends.data()) == 0); }
+  ~pipe_ends() {
+    close(ends[0]);
+    close(ends[1]);
+  }
+  std::string read_all() const {
+    std::array<char, 65536> buffer{};
+    auto count = read(ends[0], buffer.data(), buffer.size());
+    return {buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(0, count))};
+  }
+};
+
+const event_log::time_point start{std::chrono::seconds(100)};
+
+TEST_CASE("a line names its time, instance, part and event") {
+  pipe_ends ends;
+  event_log log(ends.ends[1], "front-1");
+  log.write("leader", "elected epoch=7", start, 1234);
+  log.flush();
+  REQUIRE(ends.read_all() == "1234 front-1 leader elected epoch=7\n");
+}
+
+// Under load the volume stays bounded and the loss is visible.
+TEST_CASE("lines over the rate are dropped and counted") {
+  pipe_ends ends;
+  event_log log(ends.ends[1], "a", {10, 5, 1U << 16});
+  for (int n = 0; n < 8; ++n) {
+    log.write("p", "e", start, 1);
+  }
+  REQUIRE(log.dropped() == 3);
+  log.write("p", "e", start + std::chrono::seconds(1), 2);
+  log.flush();
+  REQUIRE(ends.read_all().find("lines_dropped n=3") != std::string::npos);
+}
+
+// A reader that has stopped must not hold up the process.
+TEST_CASE("a full pipe drops lines and does not block") {
+  pipe_ends ends;
+  event_log log(ends.ends[1], "a", {1e9, 1e9, 1000});
+  std::string line(500, 'x');
+  for (int n = 0; n < 1000; ++n) {
+    log.write("p", line, start, 1);
+    log.flush();
+  }
+  REQUIRE(log.dropped() > 0);
+}
+
+}  // namespace
+}  // namespace vanillaladder::runtime
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build make ccache clang-format clang-tidy
   libwebsockets-dev libthrift-dev libboost-dev libtomlplusplus-dev
   libdocopt-dev liblog4cxx-dev libabsl-dev catch2 libtrompeloeil-cpp-dev
-  nlohmann-json3-dev libxxhash-dev librapidcheck-dev spin
+  nlohmann-json3-dev libxxhash-dev librapidcheck-dev spin libhttp-parser-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/tests/standins/test/log_standin_test.cc
+++ b/tests/standins/test/log_standin_test.cc
@@ -5,15 +5,15 @@
 #include <optional>
 
 #include "http/server.h"
-#include "platform/error.h"
-#include "platform/http_log_service.h"
+#include "external/error.h"
+#include "external/http_log_service.h"
 
 namespace vanillaladder::standins {
 namespace {
 
 using append_answer = absl::StatusOr<model::offset>;
-using read_answer = absl::StatusOr<platform::read_result>;
-using platform::log_entry;
+using read_answer = absl::StatusOr<external::read_result>;
+using external::log_entry;
 
 /// Keeps the answer to a control request.
 class control_answer : public http::responder {
@@ -29,7 +29,7 @@
   http::event_loop loop;
   log_standin standin{loop};
   std::unique_ptr<http::server> server;
-  std::unique_ptr<platform::http_log_service> log;
+  std::unique_ptr<external::http_log_service> log;
 
   fixture() {
     auto made = http::server::listen(
@@ -38,9 +38,9 @@
         });
     REQUIRE(made.ok());
     server = std::move(*made);
-    platform::http_log_options options;
+    external::http_log_options options;
     options.port = server->port();
-    log = std::make_unique<platform::http_log_service>(loop, options);
+    log = std::make_unique<external::http_log_service>(loop, options);
   }
 
   void set(const std::string& settings) {
@@ -90,7 +90,7 @@
   f.set(R"({"lose_answers": 1})");
   auto lost = f.append({"a"});
   REQUIRE_FALSE(lost.ok());
-  CHECK(platform::possibly_sent(lost.status()));
+  CHECK(external::possibly_sent(lost.status()));
   CHECK(f.append({"b"}) == append_answer(1));
 }
 
--- a/tests/standins/test/worker_standin_test.cc
+++ b/tests/standins/test/worker_standin_test.cc
@@ -5,21 +5,21 @@
 #include <optional>
 
 #include "http/server.h"
-#include "platform/http_worker_service.h"
+#include "external/http_worker_service.h"
 
 namespace vanillaladder::standins {
 namespace {
 
 using namespace std::chrono_literals;
-using platform::task_state;
+using external::task_state;
 
 struct fixture {
   http::event_loop loop;
   worker_standin::shared common;
   worker_standin worker{loop, {"w-1", {2000, 1000, 0}}, common};
   std::unique_ptr<http::server> server;
-  std::unique_ptr<platform::http_worker_service> service;
-  platform::worker_address address{"w-1", "127.0.0.1", 0};
+  std::unique_ptr<external::http_worker_service> service;
+  external::worker_address address{"w-1", "127.0.0.1", 0};
 
   fixture() {
     auto made = http::server::listen(
@@ -29,8 +29,8 @@
     REQUIRE(made.ok());
     server = std::move(*made);
     address.port = server->port();
-    service = std::make_unique<platform::http_worker_service>(
-        loop, platform::http_worker_options{});
+    service = std::make_unique<external::http_worker_service>(
+        loop, external::http_worker_options{});
   }
 
   template <typename Result, typename Call>
@@ -55,21 +55,21 @@
   absl::Status start(const std::string& held, std::uint32_t attempt,
                      const std::string& command,
                      const std::string& checkpoint = "") {
-    platform::task_start task{
+    external::task_start task{
         held, {"t", attempt}, {2000, 10, 0}, command, checkpoint};
     return wait<absl::Status>(
         [&](auto done) { service->start(address, task, done); });
   }
 
-  platform::worker_report list() {
-    auto report = wait<absl::StatusOr<platform::worker_report>>(
+  external::worker_report list() {
+    auto report = wait<absl::StatusOr<external::worker_report>>(
         [&](auto done) { service->list(address, done); });
     REQUIRE(report.ok());
     return *report;
   }
 
   /// Lists until attempt 1 has ended.
-  platform::task_report ended() {
+  external::task_report ended() {
     for (;;) {
       auto report = list();
       REQUIRE_FALSE(report.tasks.empty());
@@ -116,7 +116,7 @@
   auto first = f.lease(60s);
   CHECK(f.start(first, 1, "run:60000").ok());
   auto second = f.lease(60s);
-  platform::attempt_id id{"t", 1};
+  external::attempt_id id{"t", 1};
   auto status = f.wait<absl::Status>(
       [&](auto done) { f.service->adopt(f.address, id, second, done); });
   CHECK(status.ok());
@@ -147,7 +147,7 @@
   auto held = f.lease(60s);
   CHECK(f.start(held, 1, "run:1 fail").ok());
   CHECK(f.ended().state == task_state::failed);
-  platform::attempt_id id{"t", 1};
+  external::attempt_id id{"t", 1};
   auto status = f.wait<absl::Status>(
       [&](auto done) { f.service->acknowledge_end(f.address, id, done); });
   CHECK(status.ok());
