--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -378,7 +378,8 @@
   info.user = state.get();
   info.keepalive_timeout = static_cast<int>(idle_timeout_s);
   info.timeout_secs = idle_timeout_s;
-  info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+  info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND |
+                 LWS_SERVER_OPTION_DISABLE_IPV6;
   state->vhost = lws_create_vhost(loop.native(), &info);
   auto peer = options.address + ":" + std::to_string(options.port);
   if (state->vhost == nullptr) {
