Lead by a lease record instead of a store group

Also: an append's callback used the links of a leadership that had ended (exit code 139), and a pace was ordered again with each report. Ruled out: memory of the library (no pointer of ours is left in it now), a stack overflow (backtrace ends in worker_links::send).

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -36,7 +36,10 @@
   /// for later shows the run if it is there.
   time_point answered;
   bool is_answered = false;
+  /// As last reported, and as last ordered.
   int percent = 100;
+  int ordered_percent = 100;
+  time_point paced_at;
   std::int64_t measure = 0;
 };
 
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -13,6 +13,9 @@
 
 /// Speaks against a run that a leaving worker would not finish.
 constexpr milliseconds leave_margin{300};
+/// A pace that does not show in reports is ordered again after this time;
+/// it is in effect 100 ms after the order.
+constexpr milliseconds pace_repeat{400};
 
 }  // namespace
 
@@ -244,8 +247,12 @@
   for (const auto& ref : worker.runs) {
     auto* run = ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
         ref.number);
+    bool ordered = run->ordered_percent == percent &&
+                   now - run->paced_at < pace_repeat;
     if (ref.step->spec->fills && run->phase == run_phase::running &&
-        run->percent != percent) {
+        run->percent != percent && !ordered) {
+      run->ordered_percent = percent;
+      run->paced_at = now;
       orders_.push_back(pace_order{worker.entry.info.id,
                                    {ref.step->key, ref.index},
                                    ref.number,
--- a/packages/dispatch/include/dispatch/leadership.h
+++ b/packages/dispatch/include/dispatch/leadership.h
@@ -1,71 +1,104 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "dispatch/reporter.h"
+#include "dispatch/topic_follower.h"
 #include "external/keyed_store.h"
 #include "http/event_loop.h"
 #include "model/types.h"
 
 namespace vanillaladder::dispatch {
 
-/// Decides from the answers of a group who may lead, and until when.
+/// A claim, a renewal or the release of the leadership, as it is stored.
+struct lease_record {
+  std::string holder;
+  /// Offset of the claim; rises with each.
+  model::epoch epoch = 0;
+  /// Counts the holder's records.
+  std::int64_t sequence = 0;
+  bool released = false;
+
+  bool operator==(const lease_record&) const = default;
+};
+
+std::string encode(const lease_record& record);
+std::optional<lease_record> decode_lease(std::string_view value);
+
+/// Decides who leads, from a topic that all daemons read.
 ///
-/// Reads no clock and sends nothing.
-class leadership_rule {
+/// Each record is appended on condition that the topic ends where its writer
+/// has read to, so there is one holder at a time. A holder leads for
+/// `lifetime` from the moment it *sent* its last record; others claim once
+/// they have seen no record for as long, counted from its *arrival*. Reads no
+/// clock and sends nothing.
+class lease_rule {
  public:
-  /// Ends a membership this much before the store may end it, for the time
+  /// Ends a leadership this much before others may claim it, for the time
   /// between a check and the order that relies on it.
   static constexpr std::chrono::milliseconds margin{150};
 
-  /// @param lifetime of a membership from the arrival of its renewal.
-  explicit leadership_rule(std::chrono::milliseconds lifetime)
-      : lifetime_(lifetime) {}
+  lease_rule(std::string self, std::chrono::milliseconds lifetime)
+      : self_(std::move(self)), lifetime_(lifetime) {}
 
-  enum class change { none, proposed, resumed, lost };
-
-  /// Takes the answer to a renewal.
-  /// @param sent when the renewal was sent.
-  change on_place(const external::group_place& place,
-                  model::time_point sent);
-  /// The store or a worker has refused us in favour of a later leader.
-  /// @return whether we led.
-  bool on_superseded();
+  /// Takes a record of the topic, in order.
+  void on_record(const lease_record& record, model::time_point now);
+  /// The topic has been read for the first time.
+  void on_loaded(model::time_point now);
+  /// A record of ours is about to be sent.
+  /// @return the record.
+  lease_record on_sending(model::time_point now);
+  /// Gives up the leadership; nothing is claimed afterwards.
+  void resign() { resigned_ = true; }
+  /// A later leader has been noticed elsewhere; its record is to come.
+  void on_superseded() { superseded_ = true; }
+  bool superseded() const { return superseded_; }
 
+  /// @return whether this daemon should try to claim the leadership.
+  bool may_claim(model::time_point now) const;
+  /// @return whether the topic's last record is ours and no release.
+  bool holds() const;
   /// @return whether an order may be sent at `now`.
   bool valid(model::time_point now) const {
-    return holds_ && now < valid_until_;
+    return holds() && !resigned_ && !superseded_ && now < valid_until_;
   }
-  bool holds() const { return holds_; }
-  /// Epoch of the present leadership; rises with each.
   model::epoch epoch() const { return epoch_; }
-  model::epoch generation() const { return generation_; }
+  const std::optional<lease_record>& last() const { return last_; }
 
  private:
+  std::string self_;
   std::chrono::milliseconds lifetime_;
-  bool holds_ = false;
+  std::optional<lease_record> last_;
+  bool loaded_ = false;
+  bool resigned_ = false;
+  bool superseded_ = false;
+  model::time_point seen_at_;
   model::epoch epoch_ = 0;
-  model::epoch generation_ = 0;
+  std::int64_t sequence_ = 0;
+  model::time_point sent_at_;
   model::time_point valid_until_;
 };
 
 struct leadership_options {
-  std::string group;
-  std::string member;
+  /// Names this process; never used again by another.
+  std::string self;
   std::string topic;
   std::chrono::milliseconds lifetime{1500};
-  std::chrono::milliseconds renewal{400};
+  std::chrono::milliseconds renewal{450};
 };
 
-/// Keeps this daemon in the group that names the leader.
+/// Claims, renews and releases the leadership.
 class leadership {
  public:
   struct listener {
     /// A new leadership with this epoch; nothing is fenced yet.
-    std::function<void(model::epoch)> proposed;
+    std::function<void(model::epoch)> won;
     std::function<void()> lost;
   };
 
@@ -76,10 +109,10 @@
   leadership& operator=(const leadership&) = delete;
 
   void start();
-  /// Gives up the leadership and the membership.
+  /// Releases the leadership, so that another daemon can claim it at once.
   /// @param done called once the store knows, or after a short time.
   void leave(std::function<void()> done);
-  /// A later leader exists; joins anew under another name.
+  /// The store or a worker has refused us in favour of a later leader.
   void superseded(std::string_view by_whom);
   bool valid() const;
   model::epoch epoch() const;
--- a/packages/dispatch/include/dispatch/topic_follower.h
+++ b/packages/dispatch/include/dispatch/topic_follower.h
@@ -46,10 +46,14 @@
   /// @param done gets whether all records were applied that the topic had
   ///   when this was called.
   void refresh(std::function<void(bool)> done);
+  /// Applies records that are known to have been appended.
+  void accept(const external::record_batch& batch);
   /// Calls `done` once the copy has reached `offset`.
   void when_reached(model::offset offset, std::function<void()> done);
 
   bool loaded() const;
+  /// @return offset of the next record to read.
+  model::offset next() const;
   /// @return when the last read that succeeded was sent.
   model::time_point fresh_at() const;
 
--- a/packages/dispatch/src/job_desk.cc
+++ b/packages/dispatch/src/job_desk.cc
@@ -50,7 +50,7 @@
       encode(spec)};
   std::array records = {record};
   store_->append(
-      std::string(batch::jobs_topic), records, std::nullopt,
+      std::string(batch::jobs_topic), records, {},
       [this, record, id = spec.id, sent = boot_now(),
        done = std::move(done)](absl::StatusOr<model::offset> end) {
         auto took = std::chrono::duration_cast<model::milliseconds>(
@@ -125,7 +125,7 @@
       "1"};
   std::array records = {record};
   store_->append(
-      std::string(batch::jobs_topic), records, std::nullopt,
+      std::string(batch::jobs_topic), records, {},
       [this, record, id,
        done = std::move(done)](absl::StatusOr<model::offset> end) {
         if (end.ok()) {
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -41,8 +41,7 @@
   void load_progress(const std::string& after);
   void take_over();
   void on_closed_domains();
-  void add_known_job(const model::job_id& id,
-                     const batch::job_directory::entry& job);
+  void add_known_job(const batch::job_directory::entry& job);
   void plan_soon();
   void plan();
   void store(batch::commit commit);
@@ -95,11 +94,17 @@
 void leader::impl::open_writers() {
   auto opened = [self = shared_from_this()](
                     absl::StatusOr<model::offset> end) {
+    if (self->stopped) {
+      return;
+    }
     if (!end.ok()) {
       self->superseded("store");
       return;
     }
     self->jobs_writer.open([self](absl::StatusOr<model::offset> jobs_end) {
+      if (self->stopped) {
+        return;
+      }
       if (!jobs_end.ok()) {
         self->superseded("store");
         return;
@@ -141,24 +146,18 @@
       });
 }
 
-void leader::impl::add_known_job(const model::job_id& id,
-                                 const batch::job_directory::entry& job) {
+void leader::impl::add_known_job(const batch::job_directory::entry& job) {
   if (job.spec == nullptr) {
     return;
   }
-  auto now = boot_now();
-  scheduler.add_job(job.spec, now, wall_now());
-  if (batch::has_ended(job.status.state)) {
-    scheduler.end_job(id, job.status.state, now);
-  }
+  scheduler.add_job(job.spec, boot_now(), wall_now());
 }
 
 void leader::impl::take_over() {
   scheduler.set_queues(context.config.policies());
   on_closed_domains();
-  context.jobs.for_each([this](const auto& id, const auto& job) {
-    add_known_job(id, job);
-  });
+  context.jobs.for_each(
+      [this](const auto&, const auto& job) { add_known_job(job); });
   int unreadable = 0;
   for (const auto& record : progress) {
     auto key = batch::parse_step_key(record.key);
@@ -172,7 +171,12 @@
     }
   }
   context.jobs.for_each([this](const auto& id, const auto& job) {
-    if (job.cancelled && job.spec != nullptr) {
+    if (job.spec == nullptr) {
+      return;
+    }
+    if (batch::has_ended(job.status.state)) {
+      scheduler.end_job(id, job.status.state, boot_now());
+    } else if (job.cancelled) {
       scheduler.cancel_job(id, boot_now());
     }
   });
@@ -255,6 +259,9 @@
   // Held until both parts are stored, so that `plan` waits for them.
   parts_in_flight = 1;
   auto done = [self = shared_from_this()](const absl::Status& status) {
+    if (self->stopped) {
+      return false;
+    }
     if (!status.ok()) {
       self->context.report.event(
           "leader", absl::StrCat("append_refused error=",
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -1,45 +1,85 @@
 #include "dispatch/leadership.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <array>
+#include <vector>
 
 #include "dispatch/clock.h"
 #include "runtime/error.h"
 
 namespace vanillaladder::dispatch {
+namespace {
 
-leadership_rule::change leadership_rule::on_place(
-    const external::group_place& place, model::time_point sent) {
-  bool same_generation = place.generation == generation_;
-  bool was_valid = valid(sent);
-  bool held = holds_;
-  if (place.generation < generation_) {
-    // An answer that was overtaken.
-    return change::none;
+constexpr std::string_view lease_key = "leader";
+/// How often the state is looked at; bounds the delay of a claim.
+constexpr std::chrono::milliseconds check_interval{50};
+/// Pause before an append is tried again.
+constexpr std::chrono::milliseconds retry_pause{200};
+
+}  // namespace
+
+std::string encode(const lease_record& record) {
+  return absl::StrCat(record.holder, " ", record.epoch, " ", record.sequence,
+                      " ", record.released ? 1 : 0);
+}
+
+std::optional<lease_record> decode_lease(std::string_view value) {
+  std::vector<std::string> parts =
+      absl::StrSplit(absl::string_view(value.data(), value.size()), ' ');
+  lease_record record;
+  int released = 0;
+  if (parts.size() != 4 || !absl::SimpleAtoi(parts[1], &record.epoch) ||
+      !absl::SimpleAtoi(parts[2], &record.sequence) ||
+      !absl::SimpleAtoi(parts[3], &released)) {
+    return std::nullopt;
   }
-  generation_ = place.generation;
-  holds_ = place.holds;
-  if (!place.holds) {
-    return held ? change::lost : change::none;
+  record.holder = std::move(parts[0]);
+  record.released = released != 0;
+  return record;
+}
+
+void lease_rule::on_record(const lease_record& record,
+                           model::time_point now) {
+  last_ = record;
+  seen_at_ = now;
+  superseded_ = superseded_ && record.holder == self_;
+  if (record.holder == self_ && record.sequence == sequence_) {
+    epoch_ = record.epoch;
+    valid_until_ = std::max(valid_until_, sent_at_ + lifetime_ - margin);
   }
-  valid_until_ = std::max(valid_until_, sent + lifetime_ - margin);
-  if (held && was_valid) {
-    return change::none;
+}
+
+void lease_rule::on_loaded(model::time_point now) {
+  if (!loaded_) {
+    loaded_ = true;
+    seen_at_ = std::max(seen_at_, now);
   }
-  if (held && same_generation) {
-    // Nobody else held the partition in between.
-    return change::resumed;
+}
+
+lease_record lease_rule::on_sending(model::time_point now) {
+  sent_at_ = now;
+  lease_record record;
+  record.holder = self_;
+  // A claim's epoch must exceed that of every earlier claim.
+  record.epoch = holds() ? epoch_ : (last_ ? last_->epoch + 1 : 1);
+  record.sequence = ++sequence_;
+  record.released = resigned_;
+  return record;
+}
+
+bool lease_rule::may_claim(model::time_point now) const {
+  if (!loaded_ || resigned_ || holds()) {
+    return false;
   }
-  epoch_ = place.generation;
-  return change::proposed;
+  return !last_ || last_->released || now - seen_at_ > lifetime_;
 }
 
-bool leadership_rule::on_superseded() {
-  bool held = holds_;
-  holds_ = false;
-  generation_ = 0;
-  return held;
+bool lease_rule::holds() const {
+  return last_ && last_->holder == self_ && !last_->released;
 }
 
 struct leadership::impl : std::enable_shared_from_this<leadership::impl> {
@@ -50,85 +90,108 @@
         options(std::move(options_in)),
         to(std::move(to_in)),
         report(report_in),
-        rule(options.lifetime),
-        member(options.member) {}
-
-  void renew();
-  void renew_later();
-  void answered(const absl::StatusOr<external::group_place>& place,
-                model::time_point sent);
+        rule(options.self, options.lifetime),
+        follower(loop, store,
+                 {options.topic, std::chrono::milliseconds(1000),
+                  options.renewal - std::chrono::milliseconds(100)},
+                 {[this](auto, auto value) { take(value); },
+                  [this](const auto&) { rule.on_loaded(boot_now()); }},
+                 report) {}
+
+  void take(std::string_view value);
+  void check();
+  void append(std::function<void()> done);
+  void update();
 
   http::event_loop& loop;
   external::keyed_store& store;
   leadership_options options;
   listener to;
   reporter report;
-  leadership_rule rule;
-  std::string member;
-  int names_used = 0;
+  lease_rule rule;
+  topic_follower follower;
   bool stopped = false;
-  bool in_touch = true;
+  bool appending = false;
+  /// Epoch of the leadership that was announced; 0 is none.
+  model::epoch announced = 0;
+  model::time_point next_append;
 };
 
-void leadership::impl::renew_later() {
-  loop.call_after(options.renewal, [self = shared_from_this()] {
-    if (!self->stopped) {
-      self->renew();
-    }
-  });
-}
-
-void leadership::impl::renew() {
-  store.join(options.group, member, options.topic, options.lifetime,
-             rule.generation(),
-             [self = shared_from_this(), sent = boot_now(), name = member](
-                 absl::StatusOr<external::group_place> place) {
-               if (self->stopped || name != self->member) {
-                 return;
-               }
-               self->answered(place, sent);
-             });
-  renew_later();
-}
-
-void leadership::impl::answered(
-    const absl::StatusOr<external::group_place>& place,
-    model::time_point sent) {
-  if (!place.ok()) {
-    if (in_touch) {
-      in_touch = false;
-      report.event("leadership",
-                   absl::StrCat("dependency_lost error=",
-                                runtime::error_message(place.status())));
-    }
+void leadership::impl::take(std::string_view value) {
+  auto record = decode_lease(value);
+  if (!record) {
+    report.event("leadership", "record_unreadable");
     return;
   }
-  if (!in_touch) {
-    in_touch = true;
-    report.event("leadership", "dependency_regained");
+  bool other = !rule.last() || rule.last()->holder != record->holder ||
+               rule.last()->epoch != record->epoch || record->released;
+  rule.on_record(*record, boot_now());
+  if (other) {
+    report.event("leadership",
+                 absl::StrCat("holder id=", record->holder,
+                              " epoch=", record->epoch,
+                              " released=", record->released));
+  }
+  update();
+}
+
+/// Announces what has changed.
+void leadership::impl::update() {
+  bool leads = rule.holds() && announced == rule.epoch();
+  if (announced != 0 && !leads) {
+    announced = 0;
+    report.event("leadership", absl::StrCat("lost epoch=", rule.epoch()));
+    to.lost();
+  }
+  if (!stopped && announced == 0 && rule.valid(boot_now())) {
+    announced = rule.epoch();
+    report.event("leadership", absl::StrCat("won epoch=", announced));
+    to.won(announced);
+  }
+}
+
+void leadership::impl::check() {
+  if (stopped) {
+    return;
   }
+  loop.call_after(check_interval,
+                  [self = shared_from_this()] { self->check(); });
   auto now = boot_now();
-  auto age = std::chrono::duration_cast<model::milliseconds>(now - sent);
-  auto fields = [&] {
-    return absl::StrCat(" epoch=", rule.epoch(),
-                        " generation=", rule.generation(),
-                        " answer_age_ms=", age.count());
-  };
-  switch (rule.on_place(*place, sent)) {
-    case leadership_rule::change::none:
-      return;
-    case leadership_rule::change::proposed:
-      report.event("leadership", absl::StrCat("proposed", fields()));
-      to.proposed(rule.epoch());
-      return;
-    case leadership_rule::change::resumed:
-      report.event("leadership", absl::StrCat("resumed", fields()));
-      return;
-    case leadership_rule::change::lost:
-      report.event("leadership", absl::StrCat("lost", fields()));
-      to.lost();
-      return;
+  if (appending || now < next_append) {
+    return;
   }
+  // A holder whose time has lapsed renews too: the append succeeds only if
+  // nobody has claimed in between.
+  if (rule.holds() && !rule.superseded()) {
+    next_append = now + options.renewal;
+    append([] {});
+  } else if (rule.may_claim(now)) {
+    next_append = now + retry_pause;
+    append([] {});
+  }
+}
+
+void leadership::impl::append(std::function<void()> done) {
+  appending = true;
+  auto now = boot_now();
+  auto record = rule.on_sending(now);
+  std::array records = {
+      batch::topic_record{std::string(lease_key), encode(record)}};
+  auto at = follower.next();
+  store.append(
+      options.topic, records, {std::nullopt, at},
+      [self = shared_from_this(), at, records,
+       done = std::move(done)](absl::StatusOr<model::offset> end) {
+        self->appending = false;
+        if (end.ok()) {
+          self->follower.accept({at, {records.begin(), records.end()}});
+          done();
+          return;
+        }
+        // It may be stored all the same; the topic tells.
+        self->next_append = boot_now() + retry_pause;
+        self->follower.refresh([done](bool) { done(); });
+      });
 }
 
 leadership::leadership(http::event_loop& loop, external::keyed_store& store,
@@ -142,25 +205,34 @@
 }
 
 void leadership::start() {
-  impl_->renew();
+  impl_->follower.start();
+  impl_->check();
 }
 
 void leadership::leave(std::function<void()> done) {
   impl_->stopped = true;
-  impl_->rule.on_superseded();
-  impl_->store.leave(impl_->options.group, impl_->member, std::move(done));
+  if (impl_->appending) {
+    impl_->loop.call_after(check_interval,
+                           [this, done = std::move(done)] { leave(done); });
+    return;
+  }
+  bool held = impl_->rule.holds();
+  impl_->rule.resign();
+  impl_->announced = 0;
+  if (!held) {
+    impl_->loop.call_after(std::chrono::milliseconds(0), std::move(done));
+    return;
+  }
+  impl_->append(std::move(done));
 }
 
 void leadership::superseded(std::string_view by_whom) {
-  bool held = impl_->rule.on_superseded();
   impl_->report.event(
       "leadership", absl::StrCat("superseded epoch=", impl_->rule.epoch(),
                                  " noticed_by=", std::string(by_whom)));
-  impl_->store.leave(impl_->options.group, impl_->member, [] {});
-  // The old membership's answers must not be taken for the new one's.
-  impl_->member = absl::StrCat(impl_->options.member, "-",
-                               ++impl_->names_used);
-  if (held) {
+  impl_->rule.on_superseded();
+  if (impl_->announced != 0) {
+    impl_->announced = 0;
     impl_->to.lost();
   }
 }
--- a/packages/dispatch/src/record_writer.cc
+++ b/packages/dispatch/src/record_writer.cc
@@ -56,7 +56,8 @@
     return;
   }
   store.append(
-      topic, records, external::append_writer{writer, epoch, sequence},
+      topic, records,
+      external::append_terms{external::append_writer{writer, epoch, sequence}},
       [self = shared_from_this(),
        done = std::move(done)](absl::StatusOr<model::offset> end) mutable {
         if (self->stopped) {
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -22,8 +22,7 @@
 /// over, beyond the lease that its last order may have given.
 constexpr std::chrono::milliseconds handover_slack{300};
 
-constexpr std::string_view leader_group = "leaders";
-constexpr std::string_view leader_topic = "leader";
+constexpr std::string_view lease_topic = "keyed.lease";
 
 std::chrono::milliseconds slowed(std::chrono::milliseconds lease) {
   return std::chrono::milliseconds(static_cast<std::int64_t>(
@@ -32,11 +31,10 @@
 
 leadership_options leadership_options_of(const daemon_settings& settings) {
   leadership_options options;
-  options.group = leader_group;
   // A restarted process must not pass for its predecessor.
-  options.member = absl::StrCat(settings.instance, "-",
-                                boot_now().time_since_epoch().count());
-  options.topic = leader_topic;
+  options.self = absl::StrCat(settings.instance, "-",
+                              boot_now().time_since_epoch().count());
+  options.topic = lease_topic;
   return options;
 }
 
--- a/packages/dispatch/src/topic_follower.cc
+++ b/packages/dispatch/src/topic_follower.cc
@@ -221,6 +221,10 @@
       });
 }
 
+void topic_follower::accept(const external::record_batch& batch) {
+  impl_->apply(batch);
+}
+
 void topic_follower::when_reached(model::offset offset,
                                   std::function<void()> done) {
   if (impl_->loaded && impl_->next >= offset) {
@@ -234,6 +238,10 @@
   return impl_->loaded;
 }
 
+model::offset topic_follower::next() const {
+  return impl_->next;
+}
+
 model::time_point topic_follower::fresh_at() const {
   return impl_->fresh_at;
 }
--- a/packages/external/include/external/keyed_store.h
+++ b/packages/external/include/external/keyed_store.h
@@ -23,6 +23,13 @@
   std::int64_t sequence = 0;
 };
 
+/// What an append depends on.
+struct append_terms {
+  std::optional<append_writer> writer = {};
+  /// The append is refused unless the topic ends at this offset.
+  std::optional<model::offset> expected_end = {};
+};
+
 /// Records of a topic in order.
 struct record_batch {
   /// Offset of the first record.
@@ -38,27 +45,19 @@
   model::offset end = 0;
 };
 
-/// A member's place in a group.
-struct group_place {
-  /// Rises with each change of the group.
-  model::epoch generation = 0;
-  /// Whether the member holds the group's only partition.
-  bool holds = false;
-};
-
 /// A log of keyed records of which the newest of each key is kept.
 ///
 /// Callbacks run once, on the loop's thread and never inside the call, unless
 /// the store is destroyed first. Errors: `Unavailable` if nothing was done;
 /// `Unknown` if a change may have been made or may still be made; `Aborted`
-/// for a writer or member that has been superseded; `OutOfRange` for records
-/// that are gone, or a sequence that does not follow.
+/// for a writer that has been superseded; `FailedPrecondition` for a topic that
+/// does not end as expected; `OutOfRange` for records that are gone, or a
+/// sequence that does not follow.
 class keyed_store {
  public:
   using append_callback = std::function<void(absl::StatusOr<model::offset>)>;
   using read_callback = std::function<void(absl::StatusOr<record_batch>)>;
   using newest_callback = std::function<void(absl::StatusOr<newest_page>)>;
-  using join_callback = std::function<void(absl::StatusOr<group_place>)>;
 
   virtual ~keyed_store() = default;
 
@@ -66,8 +65,7 @@
   /// @param done gets the end of the topic after the append.
   virtual void append(const std::string& topic,
                       std::span<const batch::topic_record> records,
-                      std::optional<append_writer> writer,
-                      append_callback done) = 0;
+                      append_terms terms, append_callback done) = 0;
 
   /// Reads records from an offset.
   /// @param wait how long to wait for a record.
@@ -77,16 +75,6 @@
   /// Reads the newest records after a key; empty is the start.
   virtual void newest(const std::string& topic, const std::string& after,
                       newest_callback done) = 0;
-
-  /// Joins a group, or stays in it for `lifetime` from the call's arrival.
-  virtual void join(const std::string& group, const std::string& member,
-                    const std::string& topic,
-                    std::chrono::milliseconds lifetime,
-                    model::epoch generation, join_callback done) = 0;
-
-  /// Leaves a group; without an answer the membership ends by itself.
-  virtual void leave(const std::string& group, const std::string& member,
-                     std::function<void()> done) = 0;
 };
 
 }  // namespace vanillaladder::external
--- a/packages/http/src/channel.cc
+++ b/packages/http/src/channel.cc
@@ -161,7 +161,6 @@
   info.method = "RAW";
   info.local_protocol_name = protocol_name;
   info.opaque_user_data = link;
-  info.pwsi = &target.native;
   ++opened;
   auto count = connections.size();
   auto* native = lws_client_connect_via_info(&info);
