--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -36,10 +36,9 @@
   /// for later shows the run if it is there.
   time_point answered;
   bool is_answered = false;
-  /// As last reported, and as last ordered.
-  int percent = 100;
+  /// Share of the task's work that is done; 100 for a lasting task at work.
+  int progress = 0;
   int ordered_percent = 100;
-  time_point paced_at;
   std::int64_t measure = 0;
 };
 
--- a/packages/batch/include/batch/pace_control.h
+++ b/packages/batch/include/batch/pace_control.h
@@ -12,13 +12,13 @@
  public:
   /// Share of a serving task's target above which filling tasks slow down.
   /// Below 1, since reports lag by half a second.
-  static constexpr double slow_above = 0.8;
+  static constexpr double slow_above = 0.9;
   /// Share of the target below which they may speed up again.
-  static constexpr double speed_below = 0.55;
+  static constexpr double speed_below = 0.7;
   /// Reports cover the last half second; a change shows only after that.
   static constexpr milliseconds settle{600};
-  static constexpr double slow_factor = 0.5;
-  static constexpr int speed_step = 15;
+  static constexpr double slow_factor = 0.3;
+  static constexpr int speed_step = 50;
   /// Below this share a filling task stands still.
   static constexpr int least_percent = 10;
 
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "batch/decision_log.h"
+#include "batch/disturbance_model.h"
 #include "batch/job.h"
 #include "batch/job_records.h"
 #include "batch/orders.h"
@@ -85,6 +86,8 @@
   void on_lease(const model::worker_id& id, milliseconds deadline);
   void on_start_result(const model::worker_id& id, const task_key& task,
                        int run, start_outcome outcome, time_point now);
+  /// A pace did not get through; it is ordered again with the next report.
+  void on_pace_lost(const task_key& task, int run);
   void on_stop_answered(const model::worker_id& id, const task_key& task,
                         int run, time_point now);
 
@@ -146,7 +149,13 @@
   void apply_end(worker_state& worker, const reported_end& end,
                  time_point now);
   void apply_running(worker_state& worker, const worker_report& report);
-  void update_pace(worker_state& worker, time_point now);
+  void relieve_serving(worker_state& worker, time_point now);
+  double pressure_on(const worker_state& worker) const;
+  void learn_disturbance(const worker_state& worker, double pressure,
+                         time_point now);
+  void move_heavy(worker_state& worker, time_point now);
+  void order_pace(worker_state& worker, int percent);
+  void replace_at_address(const worker_state& successor, time_point now);
   void leave_worker(worker_state& worker, time_point now);
 
   // Placement.
@@ -175,6 +184,7 @@
   std::vector<model::domain_id> closed_domains_;
   absl::flat_hash_map<std::string, std::unique_ptr<job_entry>> jobs_;
   absl::flat_hash_map<std::string, std::unique_ptr<worker_state>> workers_;
+  disturbance_model disturbance_;
   std::vector<order> orders_;
   std::vector<topic_record> removals_;
   std::vector<topic_record> progress_removals_;
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -43,8 +43,9 @@
   task_key task;
   int number = 0;
   std::string checkpoint;
-  /// Share of its speed at which it may work, 0 to 100.
-  int percent = 100;
+  /// Share of the work that is done, in percent; 100 for a lasting task that
+  /// is at work.
+  int progress = 0;
   /// Tail response time in ms of a serving task; otherwise the processor in
   /// use, in thousandths of a core.
   std::int64_t measure = 0;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -235,6 +235,8 @@
       added.phase = run_phase::running;
       added.answered = takeover_;
       added.is_answered = true;
+      // An earlier leader may have slowed it down.
+      added.ordered_percent = -1;
     }
   }
   close_occurrences(*job);
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -13,9 +13,8 @@
 
 /// Speaks against a run that a leaving worker would not finish.
 constexpr milliseconds leave_margin{300};
-/// A pace that does not show in reports is ordered again after this time;
-/// it is in effect 100 ms after the order.
-constexpr milliseconds pace_repeat{400};
+/// A worker measures over half a second, and reports lag a little.
+constexpr milliseconds measured_span{700};
 
 }  // namespace
 
@@ -54,6 +53,7 @@
     worker = std::make_unique<worker_state>();
     worker->lease = lease_bound(takeover_ + options_.earlier_leases);
   }
+  bool was_listed = worker->listed;
   bool was_leaving =
       worker->listed &&
       worker->entry.info.state == model::instance_state::leaving;
@@ -67,12 +67,29 @@
   }
   worker->entry = entry;
   worker->listed = true;
+  if (!was_listed) {
+    replace_at_address(*worker, now);
+  }
   if (leaving && !was_leaving) {
     leave_worker(*worker, now);
   }
   news_ = true;
 }
 
+/// A new worker at an address proves that the one before it has gone.
+void scheduler::replace_at_address(const worker_state& successor,
+                                   time_point now) {
+  const auto& info = successor.entry.info;
+  for (auto& [id, worker] : workers_) {
+    const auto& other = worker->entry.info;
+    if (worker.get() != &successor && other.address == info.address &&
+        other.port == info.port &&
+        worker->entry.life < successor.entry.life && !worker->runs.empty()) {
+      lose_runs(*worker, "address_reused", now);
+    }
+  }
+}
+
 void scheduler::remove_worker(const model::worker_id& id) {
   auto* worker = find_worker(id);
   if (worker == nullptr || !worker->listed) {
@@ -156,7 +173,7 @@
     apply_end(*worker, end, report.received);
   }
   apply_running(*worker, report);
-  update_pace(*worker, report.received);
+  relieve_serving(*worker, report.received);
 }
 
 void scheduler::apply_end(worker_state& worker, const reported_end& end,
@@ -202,7 +219,7 @@
       continue;
     }
     run->life = worker.life;
-    run->percent = row.percent;
+    run->progress = row.progress;
     run->measure = row.measure;
     if (run->phase == run_phase::starting) {
       run->phase = run_phase::running;
@@ -223,7 +240,7 @@
   }
 }
 
-void scheduler::update_pace(worker_state& worker, time_point now) {
+double scheduler::pressure_on(const worker_state& worker) const {
   double pressure = 0;
   for (const auto& ref : worker.runs) {
     const auto* run =
@@ -236,23 +253,50 @@
                                         static_cast<double>(target.count()));
     }
   }
-  int before = worker.pace.percent();
-  int percent = worker.pace.update(pressure, now);
-  if (percent != before) {
-    note(absl::StrCat("pace worker=", worker.entry.info.id,
-                      " percent=", percent, " before=", before,
-                      " pressure=", pressure));
-    news_ = true;
+  return pressure;
+}
+
+void scheduler::learn_disturbance(const worker_state& worker, double pressure,
+                                  time_point now) {
+  std::vector<std::string_view> images;
+  for (const auto& ref : worker.runs) {
+    const auto* run =
+        ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
+            ref.number);
+    if (!ref.step->spec->fills) {
+      continue;
+    }
+    if (now - run->since < measured_span || run->ordered_percent < 100) {
+      // Its effect is not in the measure, or only in part.
+      return;
+    }
+    if (std::ranges::find(images, ref.step->spec->image) == images.end()) {
+      images.push_back(ref.step->spec->image);
+    }
+  }
+  disturbance_.learn(images, pressure);
+}
+
+/// Takes filling tasks that press on serving ones off the worker.
+void scheduler::move_heavy(worker_state& worker, time_point now) {
+  auto refs = worker.runs;
+  for (const auto& ref : refs) {
+    auto* run = ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
+        ref.number);
+    if (ref.step->spec->fills && run->phase == run_phase::running &&
+        disturbance_.is_heavy(ref.step->spec->image)) {
+      order_stop(*ref.step, ref.index, *run, "presses_on_serving", now);
+    }
   }
+}
+
+void scheduler::order_pace(worker_state& worker, int percent) {
   for (const auto& ref : worker.runs) {
     auto* run = ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
         ref.number);
-    bool ordered = run->ordered_percent == percent &&
-                   now - run->paced_at < pace_repeat;
     if (ref.step->spec->fills && run->phase == run_phase::running &&
-        run->percent != percent && !ordered) {
+        run->ordered_percent != percent) {
       run->ordered_percent = percent;
-      run->paced_at = now;
       orders_.push_back(pace_order{worker.entry.info.id,
                                    {ref.step->key, ref.index},
                                    ref.number,
@@ -261,6 +305,42 @@
   }
 }
 
+void scheduler::relieve_serving(worker_state& worker, time_point now) {
+  double pressure = pressure_on(worker);
+  if (worker.fill_cpu == 0) {
+    worker.pace = pace_control();
+    return;
+  }
+  if (pressure > 0) {
+    learn_disturbance(worker, pressure, now);
+  }
+  int before = worker.pace.percent();
+  int percent = worker.pace.update(pressure, now);
+  if (percent != before) {
+    note(absl::StrCat("pace worker=", worker.entry.info.id,
+                      " percent=", percent, " before=", before,
+                      " pressure=", pressure));
+    news_ = true;
+  }
+  if (pressure > pace_control::slow_above) {
+    move_heavy(worker, now);
+  }
+  order_pace(worker, percent);
+}
+
+void scheduler::on_pace_lost(const task_key& task, int run_number) {
+  auto* step = find_step(task.step);
+  if (step == nullptr || task.index < 0 || task.index >= step->spec->count) {
+    return;
+  }
+  auto* run =
+      step->tasks[static_cast<std::size_t>(task.index)].find_run(run_number);
+  if (run != nullptr) {
+    // No pace that could be ordered, so that the next one differs.
+    run->ordered_percent = -1;
+  }
+}
+
 void scheduler::on_start_result(const model::worker_id& id,
                                 const task_key& task, int run_number,
                                 start_outcome outcome, time_point now) {
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 #include "batch/job_records.h"
 #include "batch/lease_bound.h"
 #include "dispatch/clock.h"
@@ -22,6 +24,10 @@
 /// over, beyond the lease that its last order may have given.
 constexpr std::chrono::milliseconds handover_slack{300};
 
+/// Longer than an outage of the store that runs should outlast; shorter than
+/// the 6 s after which a lasting task that is away counts as lost.
+constexpr std::chrono::milliseconds preferred_lease{5500};
+
 constexpr std::string_view lease_topic = "keyed.lease";
 
 std::chrono::milliseconds slowed(std::chrono::milliseconds lease) {
@@ -198,13 +204,13 @@
 void scheduling_daemon::begin_leading(model::epoch epoch) {
   end_leading();
   leader_options options;
-  options.scheduling.longest_lease = settings_.longest_lease;
-  options.scheduling.earlier_leases = leadership_options().lifetime +
-                                      slowed(settings_.longest_lease) +
-                                      handover_slack;
+  auto lease = std::min(settings_.longest_lease, preferred_lease);
+  options.scheduling.longest_lease = lease;
+  options.scheduling.earlier_leases =
+      leadership_options().lifetime + slowed(lease) + handover_slack;
   options.scheduling.state_retention = 2 * settings_.state_retention;
   options.scheduling.early = settings_.early_start / 2;
-  options.links.lease = settings_.longest_lease;
+  options.links.lease = lease;
   leader_context context{loop_,          store_,
                          jobs_,          config_,
                          jobs_follower_, report_,
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -137,7 +137,10 @@
   link.reporting = true;
   external::report_request request;
   request.token = token;
-  request.deadline = new_deadline(id);
+  // The lease of a worker that does not answer must run out.
+  if (link.failures == 0) {
+    request.deadline = new_deadline(id);
+  }
   request.stored_end = decisions.stored_end(id);
   if (request.deadline.count() > 0 && link.failures == 0) {
     request.wait = decisions.is_sensitive(id) ? options.sensitive_wait
@@ -299,17 +302,19 @@
 void worker_links::impl::send_pace(const batch::pace_order& order) {
   auto found = links.find(order.worker);
   if (found == links.end() || !may_order()) {
+    decisions.on_pace_lost(order.task, order.run);
     return;
   }
-  // Not repeated here: the next report shows whether it was carried out.
   gateway.pace(found->second.entry.info, order, token, options.answer_limit,
-               [self = shared_from_this()](order_answer answer) {
+               [self = shared_from_this(), order](order_answer answer) {
                  if (self->stopped) {
                    return;
                  }
                  self->count("paces", answer);
                  if (answer == order_answer::fenced) {
                    self->to.superseded();
+                 } else if (answer != order_answer::done) {
+                   self->decisions.on_pace_lost(order.task, order.run);
                  }
                });
 }
