Learn disturbance for pairs of images; pace only as a fallback

Cause: an image presses on some serving images only (trial: c3a3be at 6 to 13 times its target beside 359c73 or 034bc2, the others beside them as usual); pacing all filling tasks stopped the light ones as well, and samples of paced workers were not learned from.

--- a/packages/batch/include/batch/disturbance_model.h
+++ b/packages/batch/include/batch/disturbance_model.h
@@ -5,39 +5,50 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace vanillaladder::batch {
 
-/// Learns which images of filling tasks slow the serving tasks beside them.
+/// An image of filling tasks at work beside a serving task.
+struct active_image {
+  std::string_view image;
+  /// Share of the measured time for which it was at work, 0 to 1.
+  double activity = 1;
+};
+
+/// Learns which images of filling tasks slow which images of serving tasks.
 ///
-/// Each report of a worker gives the images that have worked there and the
-/// pressure on its serving tasks. The excess pressure is explained by one
-/// weight for each image, corrected by normalised least mean squares.
+/// Each report gives the response time of a serving task and the images that
+/// were at work beside it. The excess over the usual is explained by one
+/// weight for each pair of images, corrected by the error of the prediction.
 class disturbance_model {
  public:
-  /// Pressure (share of the target) that serving tasks reach by themselves.
-  static constexpr double usual_pressure = 0.65;
+  /// Share of its target that a serving task reaches by itself.
+  static constexpr double usual_pressure = 0.7;
   /// Excess above this says no more about the weights.
   static constexpr double largest_excess = 3;
   static constexpr double learning_rate = 0.3;
-  /// Weight of an image of which nothing is known: not heavy, but the first
-  /// to be blamed.
-  static constexpr double first_weight = 0.2;
-  /// Weight from which an image is kept apart from serving tasks.
-  static constexpr double heavy_weight = 0.5;
-
-  /// @param images of the filling tasks that have worked for a while; each
-  ///   once.
-  /// @param pressure highest tail of a serving task as a share of its target.
-  void learn(std::span<const std::string_view> images, double pressure);
-
-  double weight(std::string_view image) const;
-  bool is_heavy(std::string_view image) const {
-    return weight(image) >= heavy_weight;
+  /// Weight of a pair of which nothing is known: not heavy, but the first to
+  /// be blamed.
+  static constexpr double first_weight = 0.1;
+  /// Weight from which a pair is kept apart.
+  static constexpr double heavy_weight = 0.35;
+
+  /// @param serving image of the serving task.
+  /// @param beside images at work beside it, each once.
+  /// @param pressure its tail response time as a share of its target.
+  void learn(std::string_view serving, std::span<const active_image> beside,
+             double pressure);
+
+  double weight(std::string_view serving, std::string_view filling) const;
+  bool is_heavy(std::string_view serving, std::string_view filling) const {
+    return weight(serving, filling) >= heavy_weight;
   }
 
  private:
-  absl::flat_hash_map<std::string, double> weights_;
+  using pair_key = std::pair<std::string, std::string>;
+
+  absl::flat_hash_map<pair_key, double> weights_;
 };
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/include/batch/pace_control.h
+++ b/packages/batch/include/batch/pace_control.h
@@ -1,26 +1,23 @@
 #pragma once
 
-#include <cstdint>
-
 #include "batch/job.h"
 
 namespace vanillaladder::batch {
 
 /// Sets the share at which the filling tasks of one worker may work, by the
 /// response times of the serving tasks beside them.
+///
+/// A fallback: tasks that are known to press are moved instead.
 class pace_control {
  public:
-  /// Share of a serving task's target above which filling tasks slow down.
-  /// Below 1, since reports lag by half a second.
-  static constexpr double slow_above = 0.9;
-  /// Share of the target below which they may speed up again.
-  static constexpr double speed_below = 0.7;
-  /// Reports cover the last half second; a change shows only after that.
-  static constexpr milliseconds settle{600};
-  static constexpr double slow_factor = 0.3;
-  static constexpr int speed_step = 50;
-  /// Below this share a filling task stands still.
-  static constexpr int least_percent = 10;
+  /// Share of its target above which a serving task needs relief.
+  static constexpr double slow_above = 1.0;
+  /// Share of the target below which filling tasks work at full speed.
+  static constexpr double speed_below = 0.8;
+  /// How long a serving task may be late before filling tasks slow down;
+  /// those to blame have been moved by then.
+  static constexpr milliseconds patience{1200};
+  static constexpr int slow_percent = 30;
 
   /// @param pressure highest tail response time of a serving task as a share
   ///   of its target; 0 without serving tasks.
@@ -33,6 +30,7 @@
  private:
   int percent_ = 100;
   double pressure_ = 0;
+  bool is_over_ = false;
   time_point changed_at_;
 };
 
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -151,8 +151,8 @@
   void apply_running(worker_state& worker, const worker_report& report);
   void relieve_serving(worker_state& worker, time_point now);
   double pressure_on(const worker_state& worker) const;
-  void learn_disturbance(const worker_state& worker, double pressure,
-                         time_point now);
+  void learn_disturbance(const worker_state& worker, time_point now);
+  bool presses(const worker_state& worker, std::string_view image) const;
   void move_heavy(worker_state& worker, time_point now);
   void order_pace(worker_state& worker, int percent);
   void replace_at_address(const worker_state& successor, time_point now);
--- a/packages/batch/src/disturbance_model.cc
+++ b/packages/batch/src/disturbance_model.cc
@@ -3,35 +3,42 @@
 #include <algorithm>
 
 namespace vanillaladder::batch {
+namespace {
 
-double disturbance_model::weight(std::string_view image) const {
-  auto found = weights_.find(absl::string_view(image.data(), image.size()));
+constexpr double least_weight = 0.01;
+
+}  // namespace
+
+double disturbance_model::weight(std::string_view serving,
+                                 std::string_view filling) const {
+  auto found =
+      weights_.find(pair_key(std::string(serving), std::string(filling)));
   return found == weights_.end() ? first_weight : found->second;
 }
 
-void disturbance_model::learn(std::span<const std::string_view> images,
+void disturbance_model::learn(std::string_view serving,
+                              std::span<const active_image> beside,
                               double pressure) {
-  if (images.empty()) {
-    return;
-  }
-  double excess =
-      std::clamp(pressure - usual_pressure, 0.0, largest_excess);
   double predicted = 0;
-  for (auto image : images) {
-    predicted += weight(image);
+  double activity = 0;
+  for (const auto& each : beside) {
+    predicted += each.activity * weight(serving, each.image);
+    activity += each.activity;
+  }
+  if (predicted <= 0) {
+    return;
   }
+  double excess = std::clamp(pressure - usual_pressure, 0.0, largest_excess);
   double error = excess - predicted;
-  for (auto image : images) {
-    // By what the weights already say, so that light images are not blamed
-    // for a heavy one beside them.
-    double part = predicted > 0
-                      ? weight(image) / predicted
-                      : 1.0 / static_cast<double>(images.size());
-    if (error < 0) {
-      part = 1.0 / static_cast<double>(images.size());
-    }
-    double updated = weight(image) + learning_rate * error * part;
-    weights_[std::string(image)] = std::clamp(updated, 0.01, largest_excess);
+  for (const auto& each : beside) {
+    double before = weight(serving, each.image);
+    // Too much is blamed by what the weights already say, so that a light
+    // image is not blamed for a heavy one beside it.
+    double part = error > 0 ? each.activity * before / predicted
+                            : each.activity / activity;
+    weights_[pair_key(std::string(serving), std::string(each.image))] =
+        std::clamp(before + learning_rate * error * part, least_weight,
+                   largest_excess);
   }
 }
 
--- a/packages/batch/src/pace_control.cc
+++ b/packages/batch/src/pace_control.cc
@@ -1,28 +1,23 @@
 #include "batch/pace_control.h"
 
-#include <algorithm>
-
 namespace vanillaladder::batch {
 
 int pace_control::update(double pressure, time_point now) {
   pressure_ = pressure;
-  if (pressure <= 0) {
+  if (pressure < speed_below) {
+    is_over_ = false;
     percent_ = 100;
     return percent_;
   }
-  if (now - changed_at_ < settle) {
+  if (pressure <= slow_above) {
+    is_over_ = false;
     return percent_;
   }
-  int before = percent_;
-  if (pressure > slow_above) {
-    percent_ = static_cast<int>(percent_ * slow_factor);
-    if (pressure > 1 || percent_ < least_percent) {
-      percent_ = 0;
-    }
-  } else if (pressure < speed_below) {
-    percent_ = std::min(100, std::max(percent_, least_percent) + speed_step);
-  }
-  if (percent_ != before) {
+  if (!is_over_) {
+    is_over_ = true;
+    changed_at_ = now;
+  } else if (now - changed_at_ >= patience) {
+    percent_ = percent_ == 100 ? slow_percent : 0;
     changed_at_ = now;
   }
   return percent_;
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -16,7 +16,7 @@
 /// left to filling tasks. From the users' description of their load.
 constexpr double serving_use = 0.5;
 /// Pressure on serving tasks above which no filling task is added.
-constexpr double crowded_pressure = 0.8;
+constexpr double crowded_pressure = 0.95;
 /// A filling task may start where it gets at least this share of its need.
 constexpr double least_fill_share = 0.75;
 
@@ -26,7 +26,6 @@
 constexpr double far_cost = 1;
 constexpr double same_step_cost = 0.5;
 constexpr double pressure_cost = 0.5;
-constexpr double reserved_for_heavy_cost = 0.5;
 
 double share(std::int64_t part, std::int64_t whole) {
   return whole <= 0 ? 1 : static_cast<double>(part) / static_cast<double>(whole);
@@ -105,9 +104,8 @@
   }
   auto need = spec.need;
   if (spec.fills) {
-    bool serves = worker.serving_cpu > 0;
-    if ((serves && (worker.pace.pressure() > crowded_pressure ||
-                    disturbance_.is_heavy(spec.image))) ||
+    if (worker.pace.pressure() > crowded_pressure ||
+        presses(worker, spec.image) ||
         fill_room(worker) <
             least_fill_share * static_cast<double>(need.cpu_millis)) {
       return false;
@@ -144,10 +142,6 @@
     cost = cost - share(static_cast<std::int64_t>(fill_room(worker)),
                         info.capacity.cpu_millis) +
            pressure_cost * worker.pace.pressure();
-    if (worker.serving_cpu == 0 && !disturbance_.is_heavy(spec.image)) {
-      // Workers without serving tasks are left to those that would press.
-      cost += reserved_for_heavy_cost;
-    }
   }
   if (spec.lasting) {
     // Serving tasks share workers so that others stay free for wide tasks.
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -15,6 +15,10 @@
 constexpr milliseconds leave_margin{300};
 /// A worker measures over half a second, and reports lag a little.
 constexpr milliseconds measured_span{700};
+/// Progress of a lasting task that is at work.
+constexpr int lasting_at_work = 100;
+/// Share of a serving task's target above which what presses on it is moved.
+constexpr double move_above = 0.9;
 
 }  // namespace
 
@@ -256,9 +260,9 @@
   return pressure;
 }
 
-void scheduler::learn_disturbance(const worker_state& worker, double pressure,
+void scheduler::learn_disturbance(const worker_state& worker,
                                   time_point now) {
-  std::vector<std::string_view> images;
+  std::vector<active_image> beside;
   for (const auto& ref : worker.runs) {
     const auto* run =
         ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
@@ -266,15 +270,41 @@
     if (!ref.step->spec->fills) {
       continue;
     }
-    if (now - run->since < measured_span || run->ordered_percent < 100) {
-      // Its effect is not in the measure, or only in part.
+    if (run->ordered_percent < 100) {
+      // How much of the measured time it worked is not known.
       return;
     }
-    if (std::ranges::find(images, ref.step->spec->image) == images.end()) {
-      images.push_back(ref.step->spec->image);
+    std::chrono::duration<double> age = now - run->since;
+    double activity = std::min(1.0, age / measured_span);
+    auto known = std::ranges::find(beside, ref.step->spec->image,
+                                   &active_image::image);
+    if (known == beside.end()) {
+      beside.push_back({ref.step->spec->image, activity});
+    } else {
+      known->activity = std::max(known->activity, activity);
     }
   }
-  disturbance_.learn(images, pressure);
+  for (const auto& ref : worker.runs) {
+    const auto* run =
+        ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
+            ref.number);
+    const auto& spec = *ref.step->spec;
+    if (spec.lasting && spec.target.count() > 0 &&
+        run->phase == run_phase::running &&
+        run->progress == lasting_at_work) {
+      disturbance_.learn(spec.image, beside,
+                         static_cast<double>(run->measure) /
+                             static_cast<double>(spec.target.count()));
+    }
+  }
+}
+
+bool scheduler::presses(const worker_state& worker,
+                        std::string_view image) const {
+  return std::ranges::any_of(worker.runs, [&](const auto& ref) {
+    return ref.step->spec->lasting &&
+           disturbance_.is_heavy(ref.step->spec->image, image);
+  });
 }
 
 /// Takes filling tasks that press on serving ones off the worker.
@@ -284,7 +314,7 @@
     auto* run = ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
         ref.number);
     if (ref.step->spec->fills && run->phase == run_phase::running &&
-        disturbance_.is_heavy(ref.step->spec->image)) {
+        presses(worker, ref.step->spec->image)) {
       order_stop(*ref.step, ref.index, *run, "presses_on_serving", now);
     }
   }
@@ -312,7 +342,7 @@
     return;
   }
   if (pressure > 0) {
-    learn_disturbance(worker, pressure, now);
+    learn_disturbance(worker, now);
   }
   int before = worker.pace.percent();
   int percent = worker.pace.update(pressure, now);
@@ -322,7 +352,7 @@
                       " pressure=", pressure));
     news_ = true;
   }
-  if (pressure > pace_control::slow_above) {
+  if (pressure > move_above) {
     move_heavy(worker, now);
   }
   order_pace(worker, percent);
--- a/packages/batch/test/disturbance_model_test.cc
+++ b/packages/batch/test/disturbance_model_test.cc
@@ -1,5 +1,6 @@
 #include "batch/disturbance_model.h"
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <random>
@@ -8,57 +9,78 @@
 namespace vanillaladder::batch {
 namespace {
 
-constexpr std::array<std::string_view, 9> images = {
+constexpr std::array<std::string_view, 9> filling = {
     "a", "b", "c", "d", "e", "f", "g", "h", "i"};
+constexpr std::array<std::string_view, 3> serving = {"x", "y", "z"};
 
-bool disturbs(std::string_view image) {
-  return image == "c" || image == "h";
+bool disturbs(std::string_view image, std::string_view served) {
+  return served == "x" && (image == "c" || image == "h");
 }
 
 // Pattern: filling tasks of nine images share workers at random with serving
-// tasks; two of the images press on them, the others do not.
-TEST_CASE("the images that press are told from those beside them") {
+// tasks of three; two of the nine press on one of the three.
+TEST_CASE("the pairs that press are told from those beside them") {
   disturbance_model model;
   std::mt19937 random(7);
-  std::uniform_int_distribution<std::size_t> pick(0, images.size() - 1);
-  std::uniform_real_distribution<double> own(0.3, 0.6);
-  for (int n = 0; n < 300; ++n) {
-    std::vector<std::string_view> present;
+  std::uniform_int_distribution<std::size_t> pick(0, filling.size() - 1);
+  std::uniform_real_distribution<double> own(0.3, 0.7);
+  for (int n = 0; n < 400; ++n) {
+    std::vector<active_image> present;
     for (int k = 0; k < 3; ++k) {
-      auto image = images[pick(random)];
-      if (std::find(present.begin(), present.end(), image) == present.end()) {
-        present.push_back(image);
+      auto image = filling[pick(random)];
+      if (std::ranges::find(present, image, &active_image::image) ==
+          present.end()) {
+        present.push_back({image, 1});
       }
     }
-    double pressure = own(random);
-    for (auto image : present) {
-      pressure += disturbs(image) ? 2 : 0;
+    for (auto served : serving) {
+      double pressure = own(random);
+      for (const auto& each : present) {
+        pressure += disturbs(each.image, served) ? 2 : 0;
+      }
+      model.learn(served, present, pressure);
     }
-    model.learn(present, pressure);
   }
-  for (auto image : images) {
-    INFO(image << " " << model.weight(image));
-    REQUIRE(model.is_heavy(image) == disturbs(image));
+  for (auto served : serving) {
+    for (auto image : filling) {
+      INFO(image << " on " << served << ": " << model.weight(served, image));
+      REQUIRE(model.is_heavy(served, image) == disturbs(image, served));
+    }
   }
 }
 
-TEST_CASE("an unknown image is not kept apart") {
+TEST_CASE("an unknown pair is not kept apart") {
+  disturbance_model model;
+  REQUIRE_FALSE(model.is_heavy("x", "a"));
+}
+
+// One report far over the target is enough to act on.
+TEST_CASE("one image alone is blamed by one report") {
   disturbance_model model;
-  REQUIRE_FALSE(model.is_heavy("x"));
+  std::array one = {active_image{"a", 1}};
+  model.learn("x", one, 3);
+  REQUIRE(model.is_heavy("x", "a"));
 }
 
 // The effect of an image changes within seconds.
 TEST_CASE("an image that has stopped pressing is let in again") {
   disturbance_model model;
-  std::array<std::string_view, 1> one = {"a"};
+  std::array one = {active_image{"a", 1}};
   for (int n = 0; n < 10; ++n) {
-    model.learn(one, 3);
+    model.learn("x", one, 3);
   }
-  REQUIRE(model.is_heavy("a"));
+  REQUIRE(model.is_heavy("x", "a"));
   for (int n = 0; n < 10; ++n) {
-    model.learn(one, 0.4);
+    model.learn("x", one, 0.4);
   }
-  REQUIRE_FALSE(model.is_heavy("a"));
+  REQUIRE_FALSE(model.is_heavy("x", "a"));
+}
+
+TEST_CASE("an image that stood still is not blamed") {
+  disturbance_model model;
+  std::array still = {active_image{"a", 0}};
+  model.learn("x", still, 3);
+  REQUIRE_FALSE(model.is_heavy("x", "a"));
 }
 
 }  // namespace
