Let serving tasks share workers with their like

Ruled out: missing room (without moves 225 of 232 progress reports on time). A log line says why a step waits.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -63,6 +63,8 @@
   int done = 0;
   int waiting = 0;
   bool dirty = false;
+  /// When a log line last said why its tasks wait.
+  time_point explained_at;
 
   bool complete() const { return done == spec->count; }
 };
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -152,6 +152,9 @@
   void relieve_serving(worker_state& worker, time_point now);
   double pressure_on(const worker_state& worker) const;
   void learn_disturbance(const worker_state& worker, time_point now);
+  /// @return the largest weight of an image on the worker's serving tasks.
+  double heaviest_weight(const worker_state& worker,
+                         std::string_view image) const;
   bool presses(const worker_state& worker, std::string_view image) const;
   void move_heavy(worker_state& worker, time_point now);
   void order_pace(worker_state& worker, int percent);
@@ -168,6 +171,25 @@
                   std::vector<order>& orders);
   worker_state* choose_worker(const step_state& step, const task_state& task,
                               time_point now, std::string_view rack);
+  /// Why a worker can't take a task.
+  enum class obstacle {
+    none,
+    unreachable,
+    leaving,
+    other_service,
+    closed_domain,
+    label,
+    presses_on_serving,
+    serving_late,
+    no_spare_processor,
+    no_room,
+    not_trusted,
+    limit_per_worker,
+  };
+  static std::string_view obstacle_name(obstacle cause);
+  obstacle obstacle_at(const worker_state& worker, const step_state& step,
+                       const task_state& task, time_point now) const;
+  void explain_wait(step_state& step, const task_state& task, time_point now);
   bool may_take(const worker_state& worker, const step_state& step,
                 const task_state& task, time_point now) const;
   double cost_of(const worker_state& worker, const step_state& step,
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -1,6 +1,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include "batch/detail/scheduler_state.h"
@@ -20,11 +21,16 @@
 /// A filling task may start where it gets at least this share of its need.
 constexpr double least_fill_share = 0.75;
 
+/// Least time between two lines that say why a step waits.
+constexpr milliseconds explain_interval{2000};
+
 // Costs are in units of a wholly used worker.
 constexpr double cold_cost = 2;
 constexpr double unproven_cost = 0.3;
 constexpr double far_cost = 1;
 constexpr double same_step_cost = 0.5;
+constexpr double other_image_cost = 2;
+constexpr double weight_cost = 1;
 constexpr double pressure_cost = 0.5;
 
 double share(std::int64_t part, std::int64_t whole) {
@@ -39,6 +45,20 @@
          serving_use * static_cast<double>(worker.serving_cpu);
 }
 
+/// @return share of the worker's serving tasks that have another image.
+double share_of_other_images(const detail::worker_state& worker,
+                             std::string_view image) {
+  int serving = 0;
+  int others = 0;
+  for (const auto& ref : worker.runs) {
+    if (ref.step->spec->lasting) {
+      ++serving;
+      others += ref.step->spec->image == image ? 0 : 1;
+    }
+  }
+  return serving == 0 ? 0 : static_cast<double>(others) / serving;
+}
+
 int count_of_step(const detail::worker_state& worker,
                   const detail::step_state& step) {
   return static_cast<int>(std::ranges::count_if(
@@ -47,6 +67,36 @@
 
 }  // namespace
 
+std::string_view scheduler::obstacle_name(obstacle cause) {
+  switch (cause) {
+    case obstacle::none:
+      return "free";
+    case obstacle::unreachable:
+      return "unreachable";
+    case obstacle::leaving:
+      return "leaving";
+    case obstacle::other_service:
+      return "other_service";
+    case obstacle::closed_domain:
+      return "closed_domain";
+    case obstacle::label:
+      return "label";
+    case obstacle::presses_on_serving:
+      return "presses_on_serving";
+    case obstacle::serving_late:
+      return "serving_late";
+    case obstacle::no_spare_processor:
+      return "no_spare_processor";
+    case obstacle::no_room:
+      return "no_room";
+    case obstacle::not_trusted:
+      return "not_trusted";
+    case obstacle::limit_per_worker:
+      return "limit_per_worker";
+  }
+  return "unknown";
+}
+
 struct scheduler::ranked_step {
   step_state* step = nullptr;
   int priority = 0;
@@ -84,43 +134,80 @@
   return ranked;
 }
 
-bool scheduler::may_take(const worker_state& worker, const step_state& step,
-                         const task_state& task, time_point now) const {
+scheduler::obstacle scheduler::obstacle_at(const worker_state& worker,
+                                           const step_state& step,
+                                           const task_state& task,
+                                           time_point now) const {
   const auto& info = worker.entry.info;
   const auto& spec = *step.spec;
-  if (!worker.listed || !worker.reachable ||
-      info.state != model::instance_state::live ||
-      worker.entry.service != step.job->policy.service) {
-    return false;
+  if (!worker.listed || !worker.reachable) {
+    return obstacle::unreachable;
+  }
+  if (info.state != model::instance_state::live) {
+    return obstacle::leaving;
+  }
+  if (worker.entry.service != step.job->policy.service) {
+    return obstacle::other_service;
   }
   if (std::ranges::find(closed_domains_, info.domain) !=
       closed_domains_.end()) {
-    return false;
+    return obstacle::closed_domain;
   }
   if (!spec.required_label.empty() &&
       std::ranges::find(worker.entry.labels, spec.required_label) ==
           worker.entry.labels.end()) {
-    return false;
+    return obstacle::label;
   }
   auto need = spec.need;
   if (spec.fills) {
-    if (worker.pace.pressure() > crowded_pressure ||
-        presses(worker, spec.image) ||
-        fill_room(worker) <
-            least_fill_share * static_cast<double>(need.cpu_millis)) {
-      return false;
+    if (presses(worker, spec.image)) {
+      return obstacle::presses_on_serving;
+    }
+    if (worker.pace.pressure() > crowded_pressure) {
+      return obstacle::serving_late;
+    }
+    if (fill_room(worker) <
+        least_fill_share * static_cast<double>(need.cpu_millis)) {
+      return obstacle::no_spare_processor;
     }
     need.cpu_millis = 0;
   }
   if (!model::fits_in(need, worker.room())) {
-    return false;
+    return obstacle::no_room;
   }
   if (!worker.trust.may_start(now, static_cast<int>(worker.runs.size())) ||
       (task.failures > 0 && info.id == task.last_failed_on)) {
-    return false;
+    return obstacle::not_trusted;
+  }
+  if (spec.per_worker_limit > 0 &&
+      count_of_step(worker, step) >= spec.per_worker_limit) {
+    return obstacle::limit_per_worker;
   }
-  return spec.per_worker_limit == 0 ||
-         count_of_step(worker, step) < spec.per_worker_limit;
+  return obstacle::none;
+}
+
+bool scheduler::may_take(const worker_state& worker, const step_state& step,
+                         const task_state& task, time_point now) const {
+  return obstacle_at(worker, step, task, now) == obstacle::none;
+}
+
+/// Logs why a task finds no worker, by the number of workers for each cause.
+void scheduler::explain_wait(step_state& step, const task_state& task,
+                             time_point now) {
+  if (now < step.explained_at + explain_interval) {
+    return;
+  }
+  step.explained_at = now;
+  std::map<std::string_view, int> counts;
+  for (const auto& [id, worker] : workers_) {
+    ++counts[obstacle_name(obstacle_at(*worker, step, task, now))];
+  }
+  std::string line = absl::StrCat("waits step=", to_string(step.key),
+                                  " tasks=", step.waiting);
+  for (const auto& [cause, count] : counts) {
+    absl::StrAppend(&line, " ", std::string(cause), "=", count);
+  }
+  note(std::move(line));
 }
 
 double scheduler::cost_of(const worker_state& worker, const step_state& step,
@@ -141,11 +228,15 @@
   if (spec.fills) {
     cost = cost - share(static_cast<std::int64_t>(fill_room(worker)),
                         info.capacity.cpu_millis) +
-           pressure_cost * worker.pace.pressure();
+           pressure_cost * worker.pace.pressure() +
+           weight_cost * heaviest_weight(worker, spec.image);
   }
   if (spec.lasting) {
-    // Serving tasks share workers so that others stay free for wide tasks.
-    cost = -cost + same_step_cost * count_of_step(worker, step);
+    // Serving tasks share workers so that others stay free for wide tasks,
+    // and share them with their like: what presses on one image then still
+    // finds workers with others.
+    cost = -cost + same_step_cost * count_of_step(worker, step) +
+           other_image_cost * share_of_other_images(worker, spec.image);
   }
   return cost;
 }
@@ -254,9 +345,12 @@
     if (worker != nullptr) {
       start(step, static_cast<int>(n), *worker, task.last_run + 1, now,
             orders);
-    } else if (task.failures == 0) {
-      // The step's other tasks need the same.
-      return;
+    } else {
+      explain_wait(step, task, now);
+      if (task.failures == 0) {
+        // The step's other tasks need the same.
+        return;
+      }
     }
   }
 }
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -299,12 +299,21 @@
   }
 }
 
+double scheduler::heaviest_weight(const worker_state& worker,
+                                  std::string_view image) const {
+  double weight = 0;
+  for (const auto& ref : worker.runs) {
+    const auto& spec = *ref.step->spec;
+    if (spec.lasting && spec.target.count() > 0) {
+      weight = std::max(weight, disturbance_.weight(spec.image, image));
+    }
+  }
+  return weight;
+}
+
 bool scheduler::presses(const worker_state& worker,
                         std::string_view image) const {
-  return std::ranges::any_of(worker.runs, [&](const auto& ref) {
-    return ref.step->spec->lasting &&
-           disturbance_.is_heavy(ref.step->spec->image, image);
-  });
+  return heaviest_weight(worker, image) >= disturbance_model::heavy_weight;
 }
 
 /// Takes filling tasks that press on serving ones off the worker.
