--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,12 @@
 BUILD ?= build/release
 SANITIZED ?= build/san
 
+# A clone in another folder shares compiled objects with this one.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
+# Checks that run beside the tests, most of whose time is waiting.
+LINT_JOBS ?= 3
+
 .PHONY: setup build sanitized test run prove bench format
 
 setup:
@@ -23,8 +29,10 @@
 
 test: sanitized
 	@scripts/check-format.sh
-	@scripts/check-lint.sh $(SANITIZED)
-	@ctest --test-dir $(SANITIZED) --output-on-failure -j 4
+	@scripts/check-lint.sh $(SANITIZED) $(LINT_JOBS) >$(SANITIZED)/lint.log \
+	  2>&1 & lint=$$!; \
+	ctest --test-dir $(SANITIZED) --output-on-failure -j 4; status=$$?; \
+	wait $$lint || { cat $(SANITIZED)/lint.log; status=1; }; exit $$status
 
 # The models and the trace replays alone, with their negative controls.
 prove: setup
--- a/apps/vanillaladderd/src/main.cc
+++ b/apps/vanillaladderd/src/main.cc
@@ -163,8 +163,7 @@
   auto arguments = docopt::docopt(usage, words, true, "vanillaladderd 0.1.0");
   if (arguments["schedule"].asBool()) {
     const auto& file = arguments["--settings"];
-    return schedule(file ? file.asString() : "",
-                    arguments["--check"].asBool());
+    return schedule(file ? file.asString() : "", arguments["--check"].asBool());
   }
   auto settings = runtime::load_settings(arguments["--settings"].asString());
   if (!settings.ok()) {
--- a/apps/vanillaladderd/src/schedule.cc
+++ b/apps/vanillaladderd/src/schedule.cc
@@ -89,15 +89,15 @@
   int run() {
     for (const auto& status :
          {listen(settings_.callers, callers_server_,
-                 [this](const auto& call, const auto& answer) {
+                 [this](const auto&call, const auto&answer) {
                    callers_.handle(call, answer);
                  }),
           listen(settings_.ready, ready_server_,
-                 [this](const auto&, const auto& answer) {
+                 [this](const auto&, const auto&answer) {
                    answer->respond({daemon_.ready() ? 200 : 503});
                  }),
           listen(settings_.metrics, metrics_server_,
-                 [this](const auto&, const auto& answer) {
+                 [this](const auto&, const auto&answer) {
                    answer->respond({200,
                                     {{"content-type", "text/plain"}},
                                     metrics_.prometheus_text()});
@@ -109,11 +109,10 @@
         return exit_failure;
       }
     }
-    report_.event("main",
-                  absl::StrCat("start pid=", getpid(),
-                               " domain=", settings_.domain, " store=",
-                               settings_.store.address, ":",
-                               settings_.store.port));
+    report_.event("main", absl::StrCat("start pid=", getpid(),
+                                       " domain=", settings_.domain,
+                                       " store=", settings_.store.address, ":",
+                                       settings_.store.port));
     signal_watch signals(loop_, [this](int signal) { on_signal(signal); });
     flush_later();
     daemon_.start();
@@ -124,8 +123,8 @@
   }
 
  private:
-  using handler = std::function<void(
-      const http::request&, const std::shared_ptr<http::responder>&)>;
+  using handler = std::function<void(const http::request&,
+                                     const std::shared_ptr<http::responder>&)>;
 
   absl::Status listen(const dispatch::endpoint& at,
                       std::unique_ptr<http::server>& server, handler handle) {
@@ -137,10 +136,11 @@
         [handle = std::move(handle)](http::request call, const auto& answer) {
           handle(call, answer);
         });
-    if (made.ok()) {
-      server = *std::move(made);
+    if (!made.ok()) {
+      return made.status();
     }
-    return made.status();
+    server = *std::move(made);
+    return absl::OkStatus();
   }
 
   void flush_later() {
@@ -167,7 +167,8 @@
 
   void wait_for_callers() {
     auto passed = dispatch::boot_now() - stop_asked_;
-    bool noticed = passed >= std::min(balancer_notice, settings_.stop_limit / 2);
+    bool noticed =
+        passed >= std::min(balancer_notice, settings_.stop_limit / 2);
     bool out_of_time = passed >= settings_.stop_limit - stop_margin;
     if (noticed) {
       callers_server_->close_idle_connections();
--- a/packages/batch/include/batch/job_directory.h
+++ b/packages/batch/include/batch/job_directory.h
@@ -50,9 +50,8 @@
   /// @return jobs of a queue of which no task has started, but those that run
   ///   at set times.
   int pending(std::string_view queue) const;
-  void for_each(
-      const std::function<void(const model::job_id&, const entry&)>& visit)
-      const;
+  void for_each(const std::function<void(const model::job_id&, const entry&)>&
+                    visit) const;
   std::size_t size() const { return entries_.size(); }
 
  private:
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -146,8 +146,7 @@
   // Workers.
   worker_state* find_worker(std::string_view id);
   const worker_state* find_worker(std::string_view id) const;
-  void apply_end(worker_state& worker, const reported_end& end,
-                 time_point now);
+  void apply_end(worker_state& worker, const reported_end& end, time_point now);
   void apply_running(worker_state& worker, const worker_report& report);
   void relieve_serving(worker_state& worker, time_point now);
   double pressure_on(const worker_state& worker) const;
@@ -165,10 +164,8 @@
   struct ranked_step;
   std::vector<ranked_step> rank_steps(time_point now);
   void place(time_point now, std::vector<order>& orders);
-  void place_step(step_state& step, time_point now,
-                  std::vector<order>& orders);
-  bool place_gang(step_state& step, time_point now,
-                  std::vector<order>& orders);
+  void place_step(step_state& step, time_point now, std::vector<order>& orders);
+  bool place_gang(step_state& step, time_point now, std::vector<order>& orders);
   worker_state* choose_worker(const step_state& step, const task_state& task,
                               time_point now, std::string_view rack);
   /// Why a worker can't take a task.
--- a/packages/batch/src/job_directory.cc
+++ b/packages/batch/src/job_directory.cc
@@ -60,8 +60,7 @@
   job.status.queue = spec->queue;
   job.spec = std::make_shared<const job_spec>(std::move(*spec));
   count(job, 1);
-  return has_ended(job.status.state) ? change::job_repeated
-                                     : change::job_added;
+  return has_ended(job.status.state) ? change::job_repeated : change::job_added;
 }
 
 job_directory::change job_directory::cancel(const model::job_id& id) {
--- a/packages/batch/src/job_records.cc
+++ b/packages/batch/src/job_records.cc
@@ -227,8 +227,12 @@
   }
   std::vector<task_record> tasks;
   for (auto& from : in->tasks) {
-    task_record task{from.index,    from.done, from.last_run,
-                     from.failures, std::move(from.checkpoint), {}};
+    task_record task{from.index,
+                     from.done,
+                     from.last_run,
+                     from.failures,
+                     std::move(from.checkpoint),
+                     {}};
     for (auto& run : from.runs) {
       task.runs.push_back({run.number, std::move(run.worker), run.life});
     }
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -118,8 +118,8 @@
     const auto& spec = *job->spec;
     while (!has_ended(job->state) && !job->cancelled &&
            job->occurrences_opened < spec.repeat_count) {
-      auto due = spec.first_run +
-                 job->occurrences_opened * spec.interval.count();
+      auto due =
+          spec.first_run + job->occurrences_opened * spec.interval.count();
       if (wall + options_.early.count() < due) {
         break;
       }
@@ -149,8 +149,8 @@
   if (job.state == state || has_ended(job.state)) {
     return;
   }
-  note(absl::StrCat("job_state id=", job.spec->id, " from=",
-                    std::string(name_of(job.state)),
+  note(absl::StrCat("job_state id=", job.spec->id,
+                    " from=", std::string(name_of(job.state)),
                     " to=", std::string(name_of(state))));
   job.state = state;
   job.state_dirty = true;
@@ -191,8 +191,7 @@
 }
 
 bool scheduler::restore(const step_key& key,
-                        const std::vector<task_record>& tasks,
-                        time_point now) {
+                        const std::vector<task_record>& tasks, time_point now) {
   auto* job = find_job(key.job);
   if (job == nullptr) {
     return false;
@@ -423,8 +422,7 @@
     record.failures = task.failures;
     record.checkpoint = task.done ? "" : task.checkpoint;
     for (const auto& run : task.runs) {
-      record.runs.push_back(
-          {run.number, run.worker->entry.info.id, run.life});
+      record.runs.push_back({run.number, run.worker->entry.info.id, run.life});
     }
     records.push_back(std::move(record));
   }
@@ -474,9 +472,9 @@
     }
     if (job->state_dirty) {
       job->state_dirty = false;
-      out.jobs.push_back({to_string(job_record_key{record_kind::state, id}),
-                          encode(job_status{job->state, wall,
-                                            job->spec->queue})});
+      out.jobs.push_back(
+          {to_string(job_record_key{record_kind::state, id}),
+           encode(job_status{job->state, wall, job->spec->queue})});
     }
   }
   purge_ended(out);
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -34,7 +34,8 @@
 constexpr double pressure_cost = 0.5;
 
 double share(std::int64_t part, std::int64_t whole) {
-  return whole <= 0 ? 1 : static_cast<double>(part) / static_cast<double>(whole);
+  return whole <= 0 ? 1
+                    : static_cast<double>(part) / static_cast<double>(whole);
 }
 
 /// @return processor that serving and plain tasks leave to filling ones.
@@ -202,8 +203,8 @@
   for (const auto& [id, worker] : workers_) {
     ++counts[obstacle_name(obstacle_at(*worker, step, task, now))];
   }
-  std::string line = absl::StrCat("waits step=", to_string(step.key),
-                                  " tasks=", step.waiting);
+  std::string line =
+      absl::StrCat("waits step=", to_string(step.key), " tasks=", step.waiting);
   for (const auto& [cause, count] : counts) {
     absl::StrAppend(&line, " ", std::string(cause), "=", count);
   }
@@ -226,8 +227,9 @@
     cost += far_cost;
   }
   if (spec.fills) {
-    cost = cost - share(static_cast<std::int64_t>(fill_room(worker)),
-                        info.capacity.cpu_millis) +
+    cost = cost -
+           share(static_cast<std::int64_t>(fill_room(worker)),
+                 info.capacity.cpu_millis) +
            pressure_cost * worker.pace.pressure() +
            weight_cost * heaviest_weight(worker, spec.image);
   }
@@ -262,8 +264,7 @@
 }
 
 void scheduler::start(step_state& step, int index, worker_state& worker,
-                      int number, time_point now,
-                      std::vector<order>& orders) {
+                      int number, time_point now, std::vector<order>& orders) {
   auto& task = step.tasks[static_cast<std::size_t>(index)];
   add_run(step, index, worker, number, now);
   step.dirty = true;
@@ -271,12 +272,11 @@
     set_state(*step.job, job_state::running);
   }
   task_key key{step.key, index};
-  note(absl::StrCat("run_start task=", to_string(key), " run=", number,
-                    " worker=", worker.entry.info.id,
-                    " room_cpu=", worker.room().cpu_millis,
-                    " room_mib=", worker.room().memory_mib,
-                    " pace=", worker.pace.percent(),
-                    " failures=", task.failures));
+  note(absl::StrCat(
+      "run_start task=", to_string(key), " run=", number,
+      " worker=", worker.entry.info.id, " room_cpu=", worker.room().cpu_millis,
+      " room_mib=", worker.room().memory_mib, " pace=", worker.pace.percent(),
+      " failures=", task.failures));
   orders.push_back(start_order{worker.entry.info.id, std::move(key), number,
                                step.job->spec,
                                step.spec->checkpoints ? task.checkpoint : ""});
@@ -343,8 +343,7 @@
     }
     auto* worker = choose_worker(step, task, now, "");
     if (worker != nullptr) {
-      start(step, static_cast<int>(n), *worker, task.last_run + 1, now,
-            orders);
+      start(step, static_cast<int>(n), *worker, task.last_run + 1, now, orders);
     } else {
       explain_wait(step, task, now);
       if (task.failures == 0) {
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -58,13 +58,12 @@
     worker->lease = lease_bound(takeover_ + options_.earlier_leases);
   }
   bool was_listed = worker->listed;
-  bool was_leaving =
-      worker->listed &&
-      worker->entry.info.state == model::instance_state::leaving;
+  bool was_leaving = worker->listed &&
+                     worker->entry.info.state == model::instance_state::leaving;
   bool leaving = entry.info.state == model::instance_state::leaving;
   if (!worker->listed || was_leaving != leaving) {
-    note(absl::StrCat("worker_listed id=", entry.info.id, " address=",
-                      entry.info.address, ":", entry.info.port,
+    note(absl::StrCat("worker_listed id=", entry.info.id,
+                      " address=", entry.info.address, ":", entry.info.port,
                       " domain=", entry.info.domain, " leaving=", leaving,
                       " remaining_ms=", entry.remaining.count(),
                       " life=", entry.life));
@@ -87,8 +86,8 @@
   for (auto& [id, worker] : workers_) {
     const auto& other = worker->entry.info;
     if (worker.get() != &successor && other.address == info.address &&
-        other.port == info.port &&
-        worker->entry.life < successor.entry.life && !worker->runs.empty()) {
+        other.port == info.port && worker->entry.life < successor.entry.life &&
+        !worker->runs.empty()) {
       lose_runs(*worker, "address_reused", now);
     }
   }
@@ -99,8 +98,7 @@
   if (worker == nullptr || !worker->listed) {
     return;
   }
-  note(absl::StrCat("worker_unlisted id=", id,
-                    " runs=", worker->runs.size()));
+  note(absl::StrCat("worker_unlisted id=", id, " runs=", worker->runs.size()));
   worker->listed = false;
   news_ = true;
 }
@@ -109,9 +107,8 @@
 void scheduler::leave_worker(worker_state& worker, time_point now) {
   auto runs = worker.runs;
   for (const auto& ref : runs) {
-    auto* run =
-        ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
-            ref.number);
+    auto* run = ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
+        ref.number);
     const auto& spec = *ref.step->spec;
     auto left = spec.estimate - (now - run->since);
     bool finishes =
@@ -127,10 +124,9 @@
   if (worker == nullptr || !worker->reachable) {
     return;
   }
-  auto left = std::chrono::duration_cast<milliseconds>(worker->lease.over() -
-                                                       now);
-  note(absl::StrCat("worker_unreachable id=", id,
-                    " runs=", worker->runs.size(),
+  auto left =
+      std::chrono::duration_cast<milliseconds>(worker->lease.over() - now);
+  note(absl::StrCat("worker_unreachable id=", id, " runs=", worker->runs.size(),
                     " lease_left_ms=", left.count()));
   worker->reachable = false;
 }
@@ -165,9 +161,8 @@
     worker->lease = lease_bound();
   }
   if (!worker->reachable) {
-    note(absl::StrCat("worker_reachable id=", id,
-                      " running=", report.running.size(),
-                      " ended=", report.ended.size()));
+    note(absl::StrCat("worker_reachable id=", id, " running=",
+                      report.running.size(), " ended=", report.ended.size()));
     worker->reachable = true;
     news_ = true;
   }
@@ -216,10 +211,8 @@
     }
     if (run == nullptr || run->worker != &worker) {
       note(absl::StrCat("run_unknown task=", to_string(row.task),
-                        " run=", row.number,
-                        " worker=", worker.entry.info.id));
-      orders_.push_back(
-          stop_order{worker.entry.info.id, row.task, row.number});
+                        " run=", row.number, " worker=", worker.entry.info.id));
+      orders_.push_back(stop_order{worker.entry.info.id, row.task, row.number});
       continue;
     }
     run->life = worker.life;
@@ -260,8 +253,7 @@
   return pressure;
 }
 
-void scheduler::learn_disturbance(const worker_state& worker,
-                                  time_point now) {
+void scheduler::learn_disturbance(const worker_state& worker, time_point now) {
   std::vector<active_image> beside;
   for (const auto& ref : worker.runs) {
     const auto* run =
@@ -276,8 +268,8 @@
     }
     std::chrono::duration<double> age = now - run->since;
     double activity = std::min(1.0, age / measured_span);
-    auto known = std::ranges::find(beside, ref.step->spec->image,
-                                   &active_image::image);
+    auto known =
+        std::ranges::find(beside, ref.step->spec->image, &active_image::image);
     if (known == beside.end()) {
       beside.push_back({ref.step->spec->image, activity});
     } else {
@@ -290,8 +282,7 @@
             ref.number);
     const auto& spec = *ref.step->spec;
     if (spec.lasting && spec.target.count() > 0 &&
-        run->phase == run_phase::running &&
-        run->progress == lasting_at_work) {
+        run->phase == run_phase::running && run->progress == lasting_at_work) {
       disturbance_.learn(spec.image, beside,
                          static_cast<double>(run->measure) /
                              static_cast<double>(spec.target.count()));
@@ -356,9 +347,8 @@
   int before = worker.pace.percent();
   int percent = worker.pace.update(pressure, now);
   if (percent != before) {
-    note(absl::StrCat("pace worker=", worker.entry.info.id,
-                      " percent=", percent, " before=", before,
-                      " pressure=", pressure));
+    note(absl::StrCat("pace worker=", worker.entry.info.id, " percent=",
+                      percent, " before=", before, " pressure=", pressure));
     news_ = true;
   }
   if (pressure > move_above) {
@@ -410,9 +400,8 @@
     case start_outcome::not_run:
       break;
   }
-  note(absl::StrCat("start_refused task=", to_string(task),
-                    " run=", run_number, " worker=", id,
-                    " outcome=", static_cast<int>(outcome)));
+  note(absl::StrCat("start_refused task=", to_string(task), " run=", run_number,
+                    " worker=", id, " outcome=", static_cast<int>(outcome)));
   remove_run(*step, task.index, run_number);
 }
 
@@ -436,8 +425,7 @@
 void scheduler::lose_runs(worker_state& worker, std::string_view why,
                           time_point now) {
   note(absl::StrCat("worker_lost id=", worker.entry.info.id,
-                    " runs=", worker.runs.size(),
-                    " why=", std::string(why)));
+                    " runs=", worker.runs.size(), " why=", std::string(why)));
   auto refs = worker.runs;
   for (const auto& ref : refs) {
     end_run(*ref.step, ref.index, ref.number, end_reason::lease_expired, "",
--- a/packages/batch/test/disturbance_model_test.cc
+++ b/packages/batch/test/disturbance_model_test.cc
@@ -9,8 +9,8 @@
 namespace vanillaladder::batch {
 namespace {
 
-constexpr std::array<std::string_view, 9> filling = {
-    "a", "b", "c", "d", "e", "f", "g", "h", "i"};
+constexpr std::array<std::string_view, 9> filling = {"a", "b", "c", "d", "e",
+                                                     "f", "g", "h", "i"};
 constexpr std::array<std::string_view, 3> serving = {"x", "y", "z"};
 
 bool disturbs(std::string_view image, std::string_view served) {
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -76,8 +76,9 @@
     return spec;
   }
 
-  static std::shared_ptr<const job_spec> make_job(
-      const std::string& id, std::vector<step_spec> steps, int attempts = 2) {
+  static std::shared_ptr<const job_spec> make_job(const std::string& id,
+                                                  std::vector<step_spec> steps,
+                                                  int attempts = 2) {
     auto spec = std::make_shared<job_spec>();
     spec->id = id;
     spec->queue = "queue";
@@ -127,8 +128,8 @@
     made.asked = now_;
     made.received = now_;
     for (const auto& run : worker.running) {
-      made.running.push_back({run.task, run.number, run.checkpoint,
-                              run.progress, run.measure});
+      made.running.push_back(
+          {run.task, run.number, run.checkpoint, run.progress, run.measure});
     }
     auto stored_end = decisions_->stored_end(id);
     std::erase_if(worker.ended, [stored_end](const auto& end) {
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -125,8 +125,7 @@
   f.plan();
   REQUIRE(f.where("a.0.0.0").size() == 1);
   REQUIRE(f.workers.at("w2").running.size() +
-              f.workers.at("w1").running.size() +
-              f.unanswered.size() >=
+              f.workers.at("w1").running.size() + f.unanswered.size() >=
           1);
 }
 
@@ -223,11 +222,9 @@
   auto sound = f.where("a.0.0.0").at(0);
   f.workers.at(silent).silent = true;
   f.take_over();
-  f.decisions().add_job(f.jobs.at("a"), f.now(),
-                        scheduler_fixture::wall_start);
+  f.decisions().add_job(f.jobs.at("a"), f.now(), scheduler_fixture::wall_start);
   REQUIRE(f.decisions().restore({"a", 0, 0},
-                                *decode_tasks(f.records.at("a/0/0")),
-                                f.now()));
+                                *decode_tasks(f.records.at("a/0/0")), f.now()));
   f.add_worker("w3", {1000, 4000, 0});
   f.pass(10ms);
   f.report_all();
@@ -248,8 +245,7 @@
   f.add_job("a", {scheduler_fixture::step(1, 1000)});
   f.plan();
   f.take_over();
-  f.decisions().add_job(f.jobs.at("a"), f.now(),
-                        scheduler_fixture::wall_start);
+  f.decisions().add_job(f.jobs.at("a"), f.now(), scheduler_fixture::wall_start);
   f.decisions().restore({"a", 0, 0}, *decode_tasks(f.records.at("a/0/0")),
                         f.now());
   f.decisions().end_job("a", job_state::cancelled, f.now());
@@ -369,8 +365,8 @@
   }
   int failed = 0;
   for (int round = 0; round < 40; ++round) {
-    f.add_job("j" + std::to_string(round),
-              {scheduler_fixture::step(2, 1000)}, 2);
+    f.add_job("j" + std::to_string(round), {scheduler_fixture::step(2, 1000)},
+              2);
     f.plan();
     for (auto& [id, worker] : f.workers) {
       auto runs = worker.running;
--- a/packages/control/include/control/control_stream.h
+++ b/packages/control/include/control/control_stream.h
@@ -11,8 +11,8 @@
 #include "coordination/append_tracker.h"
 #include "coordination/control_state.h"
 #include "coordination/stream_reader.h"
-#include "http/event_loop.h"
 #include "external/log_service.h"
+#include "http/event_loop.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 
--- a/packages/control/include/control/shard_driver.h
+++ b/packages/control/include/control/shard_driver.h
@@ -13,9 +13,9 @@
 #include "control/peer_mesh.h"
 #include "control/shard_machine.h"
 #include "control/trace.h"
-#include "http/event_loop.h"
 #include "external/log_service.h"
 #include "external/worker_service.h"
+#include "http/event_loop.h"
 #include "runtime/metrics.h"
 
 namespace vanillaladder::control {
--- a/packages/control/include/control/shard_messages.h
+++ b/packages/control/include/control/shard_messages.h
@@ -11,8 +11,8 @@
 #include "coordination/records.h"
 #include "coordination/shard_state.h"
 #include "coordination/stream_reader.h"
-#include "model/types.h"
 #include "external/worker_service.h"
+#include "model/types.h"
 
 /// Events that `shard_machine` takes and actions that it returns.
 namespace vanillaladder::control {
--- a/packages/dispatch/include/dispatch/job_desk.h
+++ b/packages/dispatch/include/dispatch/job_desk.h
@@ -50,13 +50,14 @@
   /// @return whether calls can be answered, as the load balancer asks.
   bool ready() const;
   bool configured() const { return config_->known(); }
-  std::size_t max_body_bytes() const { return config_->config().max_body_bytes; }
+  std::size_t max_body_bytes() const {
+    return config_->config().max_body_bytes;
+  }
 
   void submit(const queue_route& queue, batch::job_spec spec,
               std::function<void(submit_result)> done);
   void show(const model::job_id& id, std::function<void(job_answer)> done);
-  void cancel(const model::job_id& id,
-              std::function<void(cancel_result)> done);
+  void cancel(const model::job_id& id, std::function<void(cancel_result)> done);
   int pending(const queue_route& queue) const;
 
  private:
--- a/packages/dispatch/include/dispatch/leader.h
+++ b/packages/dispatch/include/dispatch/leader.h
@@ -46,9 +46,8 @@
 /// One leadership: from the takeover to its end.
 class leader {
  public:
-  leader(leader_context context, leader_options options,
-         std::unique_ptr<external::worker_gateway> gateway,
-         model::epoch epoch);
+  leader(leader_context context, const leader_options& options,
+         std::unique_ptr<external::worker_gateway> gateway, model::epoch epoch);
   ~leader();
   leader(const leader&) = delete;
   leader& operator=(const leader&) = delete;
--- a/packages/dispatch/include/dispatch/scheduling_daemon.h
+++ b/packages/dispatch/include/dispatch/scheduling_daemon.h
@@ -27,8 +27,7 @@
       std::function<std::unique_ptr<external::worker_gateway>()>;
 
   scheduling_daemon(http::event_loop& loop, const daemon_settings& settings,
-                    external::keyed_store& store,
-                    const record_decoder& decoder,
+                    external::keyed_store& store, const record_decoder& decoder,
                     gateway_factory make_gateway, reporter report);
   ~scheduling_daemon();
   scheduling_daemon(const scheduling_daemon&) = delete;
--- a/packages/dispatch/src/fleet_config.cc
+++ b/packages/dispatch/src/fleet_config.cc
@@ -19,9 +19,8 @@
 }
 
 void config_view::keep_closed(const std::set<model::domain_id>& domains) {
-  std::erase_if(closed_, [&](const auto& each) {
-    return !domains.contains(each);
-  });
+  std::erase_if(closed_,
+                [&](const auto& each) { return !domains.contains(each); });
 }
 
 const queue_route* config_view::find_queue(std::string_view host,
--- a/packages/dispatch/src/job_desk.cc
+++ b/packages/dispatch/src/job_desk.cc
@@ -35,10 +35,10 @@
 void job_desk::submit(const queue_route& queue, batch::job_spec spec,
                       std::function<void(submit_result)> done) {
   if (const auto* known = jobs_->find(spec.id); known != nullptr) {
-    report_.event("desk", absl::StrCat("submit_repeated id=", spec.id,
-                                       " state=",
-                                       std::string(batch::name_of(
-                                           known->shown_state()))));
+    report_.event(
+        "desk",
+        absl::StrCat("submit_repeated id=", spec.id, " state=",
+                     std::string(batch::name_of(known->shown_state()))));
     done(submit_result::accepted);
     return;
   }
@@ -53,8 +53,8 @@
       std::string(batch::jobs_topic), records, {},
       [this, record, id = spec.id, sent = boot_now(),
        done = std::move(done)](absl::StatusOr<model::offset> end) {
-        auto took = std::chrono::duration_cast<model::milliseconds>(
-            boot_now() - sent);
+        auto took =
+            std::chrono::duration_cast<model::milliseconds>(boot_now() - sent);
         auto result = submit_result::unknown;
         if (end.ok()) {
           result = submit_result::accepted;
@@ -68,9 +68,9 @@
           }
           report_.event(
               "desk",
-              absl::StrCat("submit_not_stored id=", id, " certain=",
-                           result == submit_result::refused, " append_ms=",
-                           took.count(),
+              absl::StrCat("submit_not_stored id=", id,
+                           " certain=", result == submit_result::refused,
+                           " append_ms=", took.count(),
                            " error=", runtime::error_message(end.status())));
         }
         done(result);
@@ -89,10 +89,9 @@
       done({job_answer::kind::known, known->shown_state()});
       return;
     }
-    report_.event("desk", absl::StrCat("show_unknown id=", id,
-                                       " fresh=", fresh));
-    done({fresh ? job_answer::kind::no_such_job
-                : job_answer::kind::unavailable,
+    report_.event("desk",
+                  absl::StrCat("show_unknown id=", id, " fresh=", fresh));
+    done({fresh ? job_answer::kind::no_such_job : job_answer::kind::unavailable,
           {}});
   });
 }
@@ -108,8 +107,8 @@
       cancel_known(id, std::move(done));
       return;
     }
-    report_.event("desk", absl::StrCat("cancel_unknown id=", id,
-                                       " fresh=", fresh));
+    report_.event("desk",
+                  absl::StrCat("cancel_unknown id=", id, " fresh=", fresh));
     done(fresh ? cancel_result::no_such_job : cancel_result::unavailable);
   });
 }
@@ -130,15 +129,14 @@
        done = std::move(done)](absl::StatusOr<model::offset> end) {
         if (end.ok()) {
           on_own_record_(record.key, record.value);
-          report_.event("desk", absl::StrCat("cancel_accepted id=", id,
-                                             " end=", *end));
+          report_.event("desk",
+                        absl::StrCat("cancel_accepted id=", id, " end=", *end));
         } else {
-          report_.event(
-              "desk", absl::StrCat("cancel_not_stored id=", id, " error=",
-                                   runtime::error_message(end.status())));
+          report_.event("desk",
+                        absl::StrCat("cancel_not_stored id=", id, " error=",
+                                     runtime::error_message(end.status())));
         }
-        done(end.ok() ? cancel_result::cancelled
-                      : cancel_result::unavailable);
+        done(end.ok() ? cancel_result::cancelled : cancel_result::unavailable);
       });
 }
 
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -19,11 +19,11 @@
 }  // namespace
 
 struct leader::impl : std::enable_shared_from_this<leader::impl> {
-  impl(leader_context context_in, leader_options options_in,
+  impl(leader_context context_in, const leader_options& options_in,
        std::unique_ptr<external::worker_gateway> gateway_in,
        model::epoch epoch_in)
       : context(std::move(context_in)),
-        options(std::move(options_in)),
+        options(options_in),
         gateway(std::move(gateway_in)),
         epoch(epoch_in),
         scheduler(options.scheduling, boot_now(),
@@ -33,9 +33,8 @@
         progress_writer(context.loop, context.store,
                         std::string(batch::progress_topic), "leader", epoch,
                         context.may_act, context.report),
-        jobs_writer(context.loop, context.store,
-                    std::string(batch::jobs_topic), "leader", epoch,
-                    context.may_act, context.report) {}
+        jobs_writer(context.loop, context.store, std::string(batch::jobs_topic),
+                    "leader", epoch, context.may_act, context.report) {}
 
   void open_writers();
   void load_progress(const std::string& after);
@@ -72,12 +71,12 @@
 
 void leader::impl::later(std::chrono::milliseconds pause,
                          std::function<void()> step) {
-  context.loop.call_after(
-      pause, [self = shared_from_this(), step = std::move(step)] {
-        if (!self->stopped) {
-          step();
-        }
-      });
+  context.loop.call_after(pause,
+                          [self = shared_from_this(), step = std::move(step)] {
+                            if (!self->stopped) {
+                              step();
+                            }
+                          });
 }
 
 void leader::impl::superseded(std::string_view by_whom) {
@@ -92,8 +91,7 @@
 }
 
 void leader::impl::open_writers() {
-  auto opened = [self = shared_from_this()](
-                    absl::StatusOr<model::offset> end) {
+  auto opened = [self = shared_from_this()](absl::StatusOr<model::offset> end) {
     if (self->stopped) {
       return;
     }
@@ -180,8 +178,8 @@
       scheduler.cancel_job(id, boot_now());
     }
   });
-  auto took = std::chrono::duration_cast<model::milliseconds>(boot_now() -
-                                                              started);
+  auto took =
+      std::chrono::duration_cast<model::milliseconds>(boot_now() - started);
   context.report.event(
       "leader",
       absl::StrCat("took_over epoch=", epoch, " jobs=", scheduler.jobs(),
@@ -189,8 +187,7 @@
                    " workers=", workers.size(), " took_ms=", took.count()));
   progress.clear();
   links = std::make_unique<worker_links>(
-      context.loop, *gateway, scheduler, epoch, options.links,
-      context.may_act,
+      context.loop, *gateway, scheduler, epoch, options.links, context.may_act,
       worker_links::listener{[this] { plan_soon(); },
                              [this] { superseded("worker"); }},
       context.report);
@@ -232,8 +229,8 @@
   }
   plan_due = true;
   auto next = planned_at + options.plan_pause;
-  auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-      next - boot_now());
+  auto wait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(next - boot_now());
   later(std::max(wait, std::chrono::milliseconds(1)), [this] {
     plan_due = false;
     plan();
@@ -263,9 +260,9 @@
       return false;
     }
     if (!status.ok()) {
-      self->context.report.event(
-          "leader", absl::StrCat("append_refused error=",
-                                 runtime::error_message(status)));
+      self->context.report.event("leader",
+                                 absl::StrCat("append_refused error=",
+                                              runtime::error_message(status)));
       self->superseded("store");
       return false;
     }
@@ -274,9 +271,9 @@
   if (!commit.progress.empty()) {
     ++parts_in_flight;
     progress_writer.append(
-        commit.progress, [self = shared_from_this(), done,
-                          orders = std::move(commit.orders)](
-                             absl::StatusOr<model::offset> end) {
+        commit.progress,
+        [self = shared_from_this(), done,
+         orders = std::move(commit.orders)](absl::StatusOr<model::offset> end) {
           if (done(end.status())) {
             self->scheduler.committed();
             self->links->send(orders);
@@ -286,13 +283,12 @@
   }
   if (!commit.jobs.empty()) {
     ++parts_in_flight;
-    jobs_writer.append(commit.jobs,
-                       [self = shared_from_this(),
-                        done](absl::StatusOr<model::offset> end) {
-                         if (done(end.status())) {
-                           self->stored_part();
-                         }
-                       });
+    jobs_writer.append(commit.jobs, [self = shared_from_this(),
+                                     done](absl::StatusOr<model::offset> end) {
+      if (done(end.status())) {
+        self->stored_part();
+      }
+    });
   }
   stored_part();
 }
@@ -306,10 +302,10 @@
   }
 }
 
-leader::leader(leader_context context, leader_options options,
+leader::leader(leader_context context, const leader_options& options,
                std::unique_ptr<external::worker_gateway> gateway,
                model::epoch epoch)
-    : impl_(std::make_shared<impl>(std::move(context), std::move(options),
+    : impl_(std::make_shared<impl>(std::move(context), options,
                                    std::move(gateway), epoch)) {}
 
 leader::~leader() {
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -42,8 +42,7 @@
   return record;
 }
 
-void lease_rule::on_record(const lease_record& record,
-                           model::time_point now) {
+void lease_rule::on_record(const lease_record& record, model::time_point now) {
   last_ = record;
   seen_at_ = now;
   superseded_ = superseded_ && record.holder == self_;
@@ -132,10 +131,9 @@
                rule.last()->epoch != record->epoch || record->released;
   rule.on_record(*record, boot_now());
   if (other) {
-    report.event("leadership",
-                 absl::StrCat("holder id=", record->holder,
-                              " epoch=", record->epoch,
-                              " released=", record->released));
+    report.event("leadership", absl::StrCat("holder id=", record->holder,
+                                            " epoch=", record->epoch,
+                                            " released=", record->released));
   }
   update();
 }
@@ -200,8 +198,7 @@
 }
 
 leadership::leadership(http::event_loop& loop, external::keyed_store& store,
-                       leadership_options options, listener to,
-                       reporter report)
+                       leadership_options options, listener to, reporter report)
     : impl_(std::make_shared<impl>(loop, store, std::move(options),
                                    std::move(to), report)) {}
 
@@ -232,9 +229,9 @@
 }
 
 void leadership::superseded(std::string_view by_whom) {
-  impl_->report.event(
-      "leadership", absl::StrCat("superseded epoch=", impl_->rule.epoch(),
-                                 " noticed_by=", std::string(by_whom)));
+  impl_->report.event("leadership",
+                      absl::StrCat("superseded epoch=", impl_->rule.epoch(),
+                                   " noticed_by=", std::string(by_whom)));
   impl_->rule.on_superseded();
   if (impl_->announced != 0) {
     impl_->announced = 0;
--- a/packages/dispatch/src/record_writer.cc
+++ b/packages/dispatch/src/record_writer.cc
@@ -42,12 +42,12 @@
 };
 
 void record_writer::impl::retry(callback done) {
-  loop.call_after(retry_pause,
-                  [self = shared_from_this(), done = std::move(done)]() mutable {
-                    if (!self->stopped) {
-                      self->send(std::move(done));
-                    }
-                  });
+  loop.call_after(retry_pause, [self = shared_from_this(),
+                                done = std::move(done)]() mutable {
+    if (!self->stopped) {
+      self->send(std::move(done));
+    }
+  });
 }
 
 void record_writer::impl::send(callback done) {
@@ -63,16 +63,15 @@
         if (self->stopped) {
           return;
         }
-        bool repeat = absl::IsUnavailable(end.status()) ||
-                      absl::IsUnknown(end.status());
+        bool repeat =
+            absl::IsUnavailable(end.status()) || absl::IsUnknown(end.status());
         if (repeat) {
           if (self->in_touch) {
             self->in_touch = false;
             self->report.event(
-                "writer",
-                absl::StrCat("append_retried topic=", self->topic,
-                             " sequence=", self->sequence, " error=",
-                             runtime::error_message(end.status())));
+                "writer", absl::StrCat("append_retried topic=", self->topic,
+                                       " sequence=", self->sequence, " error=",
+                                       runtime::error_message(end.status())));
           }
           self->report.count("vanillaladder_store_append_retries_total",
                              "topic", self->topic);
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -73,8 +73,9 @@
           {[this](auto key, auto value) { apply_worker(key, value); },
            [this](const auto& keys) { keep_workers(keys); }},
           report),
-      desk_(store, jobs_, config_, jobs_follower_,
-            [this](auto key, auto value) { apply_job(key, value); }, report),
+      desk_(
+          store, jobs_, config_, jobs_follower_,
+          [this](auto key, auto value) { apply_job(key, value); }, report),
       leadership_(loop, store, leadership_options_of(settings),
                   {[this](model::epoch epoch) { begin_leading(epoch); },
                    [this] { end_leading(); }},
@@ -120,18 +121,18 @@
   if (!record.ok()) {
     report_.count("vanillaladder_records_unreadable_total", "topic",
                   decoder_.operator_topic());
-    report_.event("daemon",
-                  absl::StrCat("record_unreadable key=", std::string(key),
-                               " error=",
-                               runtime::error_message(record.status())));
+    report_.event(
+        "daemon",
+        absl::StrCat("record_unreadable key=", std::string(key),
+                     " error=", runtime::error_message(record.status())));
     return;
   }
   if (auto* config = std::get_if<fleet_config>(&*record)) {
     auto version = config->version;
     bool taken = config_.apply(std::move(*config));
-    report_.event("daemon", absl::StrCat("config version=", version,
-                                         " taken=", taken,
-                                         " in_force=", config_.version()));
+    report_.event("daemon",
+                  absl::StrCat("config version=", version, " taken=", taken,
+                               " in_force=", config_.version()));
   } else if (auto* closing = std::get_if<domain_closing>(&*record)) {
     if (value.empty()) {
       config_.open_domain(closing->domain);
@@ -211,13 +212,15 @@
   options.scheduling.state_retention = 2 * settings_.state_retention;
   options.scheduling.early = settings_.early_start / 2;
   options.links.lease = lease;
-  leader_context context{loop_,          store_,
-                         jobs_,          config_,
-                         jobs_follower_, report_,
-                         [this] { return leadership_.valid(); },
-                         [this](std::string_view by_whom) {
-                           leadership_.superseded(by_whom);
-                         }};
+  leader_context context{
+      loop_,
+      store_,
+      jobs_,
+      config_,
+      jobs_follower_,
+      report_,
+      [this] { return leadership_.valid(); },
+      [this](std::string_view by_whom) { leadership_.superseded(by_whom); }};
   jobs_follower_.set_pause(leader_pause);
   leader_ = std::make_unique<leader>(std::move(context), options,
                                      make_gateway_(), epoch);
@@ -231,8 +234,8 @@
   if (leader_ == nullptr) {
     return;
   }
-  report_.event("daemon", absl::StrCat("leading_ended epoch=",
-                                       leadership_.epoch()));
+  report_.event("daemon",
+                absl::StrCat("leading_ended epoch=", leadership_.epoch()));
   leader_.reset();
   jobs_follower_.set_pause(follower_pause);
 }
--- a/packages/dispatch/src/settings.cc
+++ b/packages/dispatch/src/settings.cc
@@ -48,8 +48,8 @@
   };
 }
 
-reader milliseconds_into(std::chrono::milliseconds& target,
-                         std::int64_t least, std::int64_t most) {
+reader milliseconds_into(std::chrono::milliseconds& target, std::int64_t least,
+                         std::int64_t most) {
   return [&target, least, most](const toml::node& node) -> std::string {
     auto value = node.value_exact<std::int64_t>().value_or(least - 1);
     if (value < least || value > most) {
@@ -77,7 +77,8 @@
       {"limits.stop_ms",
        {false, milliseconds_into(settings.stop_limit, 500, 600000)}},
       {"limits.max_descriptors",
-       {false, [&settings](const toml::node& node) -> std::string {
+       {false,
+        [&settings](const toml::node& node) -> std::string {
           auto value = node.value_exact<std::int64_t>().value_or(0);
           if (value < 256 || value > 1000000) {
             return "a number from 256 to 1000000";
@@ -113,8 +114,8 @@
       continue;
     }
     for (const auto& [key, value] : *table) {
-      auto full = absl::StrCat(std::string(section.str()), ".",
-                               std::string(key.str()));
+      auto full =
+          absl::StrCat(std::string(section.str()), ".", std::string(key.str()));
       auto known = keys.find(full);
       if (known == keys.end()) {
         problems.push_back(absl::StrCat(file, ":", value.source().begin.line,
--- a/packages/dispatch/src/topic_follower.cc
+++ b/packages/dispatch/src/topic_follower.cc
@@ -75,9 +75,8 @@
   fresh_at = std::max(fresh_at, sent);
   if (!in_touch) {
     in_touch = true;
-    report.event("follower",
-                 absl::StrCat("dependency_regained topic=", options.topic,
-                              " next=", next));
+    report.event("follower", absl::StrCat("dependency_regained topic=",
+                                          options.topic, " next=", next));
   }
 }
 
@@ -85,44 +84,42 @@
   if (after.empty()) {
     keys.clear();
   }
-  store.newest(
-      options.topic, after,
-      [self = shared_from_this(), after,
-       sent = boot_now()](absl::StatusOr<external::newest_page> page) {
-        if (self->stopped) {
-          return;
-        }
-        if (!page.ok()) {
-          self->failed(page.status());
-          self->later(retry_pause, &impl::restart);
-          return;
-        }
-        // Later pages may hold newer records; reading on from the first
-        // page's end brings all changes made meanwhile.
-        if (after.empty()) {
-          self->load_end = page->end;
-        }
-        self->succeeded(sent);
-        std::string last;
-        for (const auto& record : page->records) {
-          self->keys.insert(record.key);
-          self->to.record(record.key, record.value);
-          last = record.key;
-        }
-        if (page->more && !last.empty()) {
-          self->load(last);
-        } else {
-          self->finish_load();
-        }
-      });
+  store.newest(options.topic, after,
+               [self = shared_from_this(), after,
+                sent = boot_now()](absl::StatusOr<external::newest_page> page) {
+                 if (self->stopped) {
+                   return;
+                 }
+                 if (!page.ok()) {
+                   self->failed(page.status());
+                   self->later(retry_pause, &impl::restart);
+                   return;
+                 }
+                 // Later pages may hold newer records; reading on from the
+                 // first page's end brings all changes made meanwhile.
+                 if (after.empty()) {
+                   self->load_end = page->end;
+                 }
+                 self->succeeded(sent);
+                 std::string last;
+                 for (const auto& record : page->records) {
+                   self->keys.insert(record.key);
+                   self->to.record(record.key, record.value);
+                   last = record.key;
+                 }
+                 if (page->more && !last.empty()) {
+                   self->load(last);
+                 } else {
+                   self->finish_load();
+                 }
+               });
 }
 
 void topic_follower::impl::finish_load() {
   next = load_end;
   loaded = true;
   report.event("follower", absl::StrCat("topic_loaded topic=", options.topic,
-                                        " keys=", keys.size(),
-                                        " next=", next));
+                                        " keys=", keys.size(), " next=", next));
   if (to.loaded) {
     to.loaded(keys);
   }
@@ -155,35 +152,34 @@
 }
 
 void topic_follower::impl::read() {
-  store.read(
-      options.topic, next, options.wait,
-      [self = shared_from_this(),
-       sent = boot_now()](absl::StatusOr<external::record_batch> batch) {
-        if (self->stopped) {
-          return;
-        }
-        if (absl::IsOutOfRange(batch.status())) {
-          self->report.event("follower",
-                             absl::StrCat("history_gone topic=",
-                                          self->options.topic,
-                                          " next=", self->next));
-          self->load("");
-          return;
-        }
-        if (!batch.ok()) {
-          self->failed(batch.status());
-          self->later(retry_pause, &impl::read);
-          return;
-        }
-        self->succeeded(sent);
-        bool found = !batch->records.empty();
-        self->apply(*batch);
-        if (found) {
-          self->later(self->options.pause, &impl::read);
-        } else {
-          self->read();
-        }
-      });
+  store.read(options.topic, next, options.wait,
+             [self = shared_from_this(),
+              sent = boot_now()](absl::StatusOr<external::record_batch> batch) {
+               if (self->stopped) {
+                 return;
+               }
+               if (absl::IsOutOfRange(batch.status())) {
+                 self->report.event(
+                     "follower",
+                     absl::StrCat("history_gone topic=", self->options.topic,
+                                  " next=", self->next));
+                 self->load("");
+                 return;
+               }
+               if (!batch.ok()) {
+                 self->failed(batch.status());
+                 self->later(retry_pause, &impl::read);
+                 return;
+               }
+               self->succeeded(sent);
+               bool found = !batch->records.empty();
+               self->apply(*batch);
+               if (found) {
+                 self->later(self->options.pause, &impl::read);
+               } else {
+                 self->read();
+               }
+             });
 }
 
 topic_follower::topic_follower(http::event_loop& loop,
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -89,18 +89,17 @@
 
 void worker_links::impl::later(std::chrono::milliseconds pause,
                                std::function<void()> step) {
-  loop.call_after(pause,
-                  [self = shared_from_this(), step = std::move(step)] {
-                    if (!self->stopped) {
-                      step();
-                    }
-                  });
+  loop.call_after(pause, [self = shared_from_this(), step = std::move(step)] {
+    if (!self->stopped) {
+      step();
+    }
+  });
 }
 
 void worker_links::impl::count(std::string_view what, order_answer answer) {
-  report.count(absl::StrCat("vanillaladder_worker_", std::string(what),
-                            "_total"),
-               "answer", name_of(answer));
+  report.count(
+      absl::StrCat("vanillaladder_worker_", std::string(what), "_total"),
+      "answer", name_of(answer));
 }
 
 std::chrono::milliseconds worker_links::impl::new_deadline(
@@ -202,10 +201,9 @@
     return;
   }
   if (!may_order()) {
-    later(options.retry_pause,
-          [this, order, attempt, maybe_sent] {
-            send_start(order, attempt, maybe_sent);
-          });
+    later(options.retry_pause, [this, order, attempt, maybe_sent] {
+      send_start(order, attempt, maybe_sent);
+    });
     return;
   }
   external::order_permit permit{token, new_deadline(order.worker)};
@@ -258,13 +256,11 @@
         }
         if (answer != order_answer::done) {
           self->report.event(
-              "links", absl::StrCat("start_answer task=",
-                                    batch::to_string(order.task), " run=",
-                                    order.run, " worker=", order.worker,
-                                    " answer=",
-                                    std::string(name_of(answer)),
-                                    " attempt=", attempt,
-                                    " maybe_sent=", maybe_sent));
+              "links",
+              absl::StrCat("start_answer task=", batch::to_string(order.task),
+                           " run=", order.run, " worker=", order.worker,
+                           " answer=", std::string(name_of(answer)),
+                           " attempt=", attempt, " maybe_sent=", maybe_sent));
         }
         self->decisions.on_start_result(order.worker, order.task, order.run,
                                         outcome, boot_now());
--- a/packages/dispatch/test/lease_rule_test.cc
+++ b/packages/dispatch/test/lease_rule_test.cc
@@ -95,9 +95,7 @@
     }
   }
 
-  bool chance(double p) {
-    return std::bernoulli_distribution(p)(random);
-  }
+  bool chance(double p) { return std::bernoulli_distribution(p)(random); }
 
   void read(daemon& each) {
     for (; each.read < topic.size(); ++each.read) {
@@ -133,9 +131,9 @@
   }
 
   int leaders() const {
-    return static_cast<int>(
-        std::count_if(daemons.begin(), daemons.end(),
-                      [this](const auto& each) { return each.rule.valid(now); }));
+    return static_cast<int>(std::count_if(
+        daemons.begin(), daemons.end(),
+        [this](const auto& each) { return each.rule.valid(now); }));
   }
 };
 
--- a/packages/external/include/external/http_instance_list.h
+++ b/packages/external/include/external/http_instance_list.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <string>
 
-#include "http/client.h"
 #include "external/instance_list.h"
+#include "http/client.h"
 
 namespace vanillaladder::external {
 
--- a/packages/external/include/external/http_log_service.h
+++ b/packages/external/include/external/http_log_service.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <string>
 
-#include "http/client.h"
 #include "external/log_service.h"
+#include "http/client.h"
 
 namespace vanillaladder::external {
 
--- a/packages/external/include/external/http_worker_service.h
+++ b/packages/external/include/external/http_worker_service.h
@@ -3,8 +3,8 @@
 #include <chrono>
 #include <string>
 
-#include "http/client.h"
 #include "external/worker_service.h"
+#include "http/client.h"
 
 namespace vanillaladder::external {
 
--- a/packages/external/include/external/worker_gateway.h
+++ b/packages/external/include/external/worker_gateway.h
@@ -78,12 +78,10 @@
                      order_callback done) = 0;
   virtual void stop(const model::worker_info& worker,
                     const batch::stop_order& order, model::epoch token,
-                    std::chrono::milliseconds timeout,
-                    order_callback done) = 0;
+                    std::chrono::milliseconds timeout, order_callback done) = 0;
   virtual void pace(const model::worker_info& worker,
                     const batch::pace_order& order, model::epoch token,
-                    std::chrono::milliseconds timeout,
-                    order_callback done) = 0;
+                    std::chrono::milliseconds timeout, order_callback done) = 0;
   /// Closes the connections to a worker.
   virtual void forget(const model::worker_id& worker) = 0;
 };
--- a/packages/external/src/json_call.h
+++ b/packages/external/src/json_call.h
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
+#include "external/error.h"
 #include "http/client.h"
 #include "model/types.h"
-#include "external/error.h"
 
 namespace vanillaladder::external::detail {
 
--- a/packages/external/test/http_log_service_test.cc
+++ b/packages/external/test/http_log_service_test.cc
@@ -1,7 +1,7 @@
 #include "external/http_log_service.h"
 
-#include "fake_peer.h"
 #include "external/error.h"
+#include "fake_peer.h"
 #include "runtime/error.h"
 
 namespace vanillaladder::external {
--- a/packages/http/src/channel.cc
+++ b/packages/http/src/channel.cc
@@ -1,8 +1,7 @@
 #include "http/channel.h"
 
-#include <libwebsockets.h>
-
 #include <absl/strings/str_cat.h>
+#include <libwebsockets.h>
 
 #include <algorithm>
 #include <array>
@@ -262,12 +261,11 @@
         });
   }
   if (!destroyed && !waiting.empty()) {
-    shared->loop().call_after(reconnect_pause,
-                              [self = shared_from_this()] {
-                                if (!self->destroyed) {
-                                  self->dispatch();
-                                }
-                              });
+    shared->loop().call_after(reconnect_pause, [self = shared_from_this()] {
+      if (!self->destroyed) {
+        self->dispatch();
+      }
+    });
   }
 }
 
@@ -281,10 +279,10 @@
     auto* native = busy->native;
     drop(*busy);
     lws_set_timeout(native, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-    auto result = failure(
-        ended, absl::StatusCode::kDeadlineExceeded,
-        sent ? failure_phase::possibly_sent : failure_phase::not_sent,
-        "timed out");
+    auto result =
+        failure(ended, absl::StatusCode::kDeadlineExceeded,
+                sent ? failure_phase::possibly_sent : failure_phase::not_sent,
+                "timed out");
     finish(std::move(ended), std::move(result));
   } else {
     auto queued = std::ranges::find(waiting, id, &call::id);
@@ -310,11 +308,11 @@
 client_failure channel::impl::failure(const call& failed, absl::StatusCode code,
                                       failure_phase phase,
                                       std::string_view why) const {
-  return {runtime::make_error(
-              code,
-              absl::StrCat(failed.message.method, " ", failed.message.target),
-              peer, why),
-          phase};
+  return {
+      runtime::make_error(
+          code, absl::StrCat(failed.message.method, " ", failed.message.target),
+          peer, why),
+      phase};
 }
 
 transport::transport(event_loop& loop) : loop_(&loop) {
--- a/packages/http/src/event_loop.cc
+++ b/packages/http/src/event_loop.cc
@@ -93,8 +93,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   lws_context_creation_info info{};
   // Peers are named by IPv4 addresses.
-  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS |
-                 LWS_SERVER_OPTION_DISABLE_IPV6;
+  info.options =
+      LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.gid = static_cast<gid_t>(-1);
   info.uid = static_cast<uid_t>(-1);
--- a/packages/http/src/response_reader.cc
+++ b/packages/http/src/response_reader.cc
@@ -33,8 +33,8 @@
         reader.in_name_ = true;
       }
       for (char letter : std::string_view(at, length)) {
-        reader.answer_.headers.back().name += static_cast<char>(
-            std::tolower(static_cast<unsigned char>(letter)));
+        reader.answer_.headers.back().name +=
+            static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
       }
       return 0;
     };
@@ -47,8 +47,7 @@
       }
       return 0;
     };
-    made.on_body = [](http_parser* native, const char* at,
-                      std::size_t length) {
+    made.on_body = [](http_parser* native, const char* at, std::size_t length) {
       of(native).answer_.body.append(at, length);
       return 0;
     };
@@ -76,10 +75,10 @@
 }
 
 bool response_reader::feed(std::string_view bytes, std::size_t limit) {
-  std::size_t read =
-      http_parser_execute(&parser_->native, &parser::callbacks(),
-                          bytes.data(), bytes.size());
-  return read == bytes.size() && HTTP_PARSER_ERRNO(&parser_->native) == HPE_OK &&
+  std::size_t read = http_parser_execute(&parser_->native, &parser::callbacks(),
+                                         bytes.data(), bytes.size());
+  return read == bytes.size() &&
+         HTTP_PARSER_ERRNO(&parser_->native) == HPE_OK &&
          answer_.body.size() <= limit;
 }
 
--- a/packages/http/test/channel_test.cc
+++ b/packages/http/test/channel_test.cc
@@ -20,8 +20,8 @@
   std::vector<client_result> results;
 
   fixture() {
-    auto made = server::listen(
-        loop, {}, [this](request message, const auto& answer) {
+    auto made =
+        server::listen(loop, {}, [this](request message, const auto& answer) {
           seen.push_back(message);
           if (hold) {
             held.push_back(answer);
--- a/packages/runtime/src/event_log.cc
+++ b/packages/runtime/src/event_log.cc
@@ -23,9 +23,8 @@
 bool event_log::take_line(time_point now) {
   std::chrono::duration<double> passed = now - refilled_at_;
   refilled_at_ = now;
-  lines_left_ = std::min(options_.burst,
-                         lines_left_ + passed.count() *
-                                           options_.lines_per_second);
+  lines_left_ = std::min(
+      options_.burst, lines_left_ + passed.count() * options_.lines_per_second);
   if (lines_left_ < 1 || buffer_.size() >= options_.max_buffered_bytes) {
     return false;
   }
@@ -41,8 +40,8 @@
     return;
   }
   if (dropped_ > 0) {
-    absl::StrAppend(&buffer_, wall_ms, " ", instance_, " log lines_dropped n=",
-                    dropped_, "\n");
+    absl::StrAppend(&buffer_, wall_ms, " ", instance_,
+                    " log lines_dropped n=", dropped_, "\n");
     dropped_ = 0;
   }
   absl::StrAppend(&buffer_, wall_ms, " ", instance_, " ",
--- a/packages/runtime/test/event_log_test.cc
+++ b/packages/runtime/test/event_log_test.cc
@@ -18,7 +18,8 @@
   std::string read_all() const {
     std::array<char, 65536> buffer{};
     auto count = read(ends[0], buffer.data(), buffer.size());
-    return {buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(0, count))};
+    return {buffer.data(),
+            static_cast<std::size_t>(std::max<ssize_t>(0, count))};
   }
 };
 
--- a/scripts/check-lint.sh
+++ b/scripts/check-lint.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over all hand-written sources of the build in $1; a file
-# whose content, headers and settings were clean before is not read again.
+# Runs clang-tidy over all hand-written sources of the build in $1, $2 at once
+# (default: one for each core); a file whose content, headers and settings were
+# clean before is not read again.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=$1
+jobs=${2:-$(nproc)}
 stamps=$build/lint
 mkdir -p "$stamps"
 common=$( { cat .clang-tidy; git ls-files -co --exclude-standard -- '*.h' |
@@ -23,4 +25,4 @@
 }
 export -f lint_one
 git ls-files -co --exclude-standard -- '*.cc' | grep -v '/gen/' |
-  xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
+  xargs -P "$jobs" -I{} bash -c 'lint_one {}'
--- a/tests/standins/test/log_standin_test.cc
+++ b/tests/standins/test/log_standin_test.cc
@@ -4,9 +4,9 @@
 #include <memory>
 #include <optional>
 
-#include "http/server.h"
 #include "external/error.h"
 #include "external/http_log_service.h"
+#include "http/server.h"
 
 namespace vanillaladder::standins {
 namespace {
--- a/tests/standins/test/worker_standin_test.cc
+++ b/tests/standins/test/worker_standin_test.cc
@@ -4,8 +4,8 @@
 #include <memory>
 #include <optional>
 
-#include "http/server.h"
 #include "external/http_worker_service.h"
+#include "http/server.h"
 
 namespace vanillaladder::standins {
 namespace {
