--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -63,6 +63,8 @@
   int done = 0;
   int waiting = 0;
   bool dirty = false;
+  /// When its tasks could first start.
+  time_point ready_since;
   /// When a log line last said why its tasks wait.
   time_point explained_at;
 
--- a/packages/batch/include/batch/disturbance_model.h
+++ b/packages/batch/include/batch/disturbance_model.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "batch/job.h"
+
 namespace vanillaladder::batch {
 
 /// An image of filling tasks at work beside a serving task.
@@ -21,6 +23,7 @@
 /// Each report gives the response time of a serving task and the images that
 /// were at work beside it. The excess over the usual is explained by one
 /// weight for each pair of images, corrected by the error of the prediction.
+/// What is known fades, so that a pair that is kept apart is tried again.
 class disturbance_model {
  public:
   /// Share of its target that a serving task reaches by itself.
@@ -34,21 +37,32 @@
   /// Weight from which a pair is kept apart.
   static constexpr double heavy_weight = 0.35;
 
+  /// Time in which half of what is known of a pair fades. The users' images
+  /// change their effect within seconds.
+  static constexpr milliseconds half_life{6000};
+
   /// @param serving image of the serving task.
   /// @param beside images at work beside it, each once.
   /// @param pressure its tail response time as a share of its target.
   void learn(std::string_view serving, std::span<const active_image> beside,
-             double pressure);
+             double pressure, time_point now);
 
-  double weight(std::string_view serving, std::string_view filling) const;
-  bool is_heavy(std::string_view serving, std::string_view filling) const {
-    return weight(serving, filling) >= heavy_weight;
+  double weight(std::string_view serving, std::string_view filling,
+                time_point now) const;
+  bool is_heavy(std::string_view serving, std::string_view filling,
+                time_point now) const {
+    return weight(serving, filling, now) >= heavy_weight;
   }
 
  private:
   using pair_key = std::pair<std::string, std::string>;
 
-  absl::flat_hash_map<pair_key, double> weights_;
+  struct estimate {
+    double weight = first_weight;
+    time_point at;
+  };
+
+  absl::flat_hash_map<pair_key, estimate> weights_;
 };
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
-
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -152,11 +150,14 @@
   double pressure_on(const worker_state& worker) const;
   void learn_disturbance(const worker_state& worker, time_point now);
   /// @return the largest weight of an image on the worker's serving tasks.
-  double heaviest_weight(const worker_state& worker,
-                         std::string_view image) const;
-  bool presses(const worker_state& worker, std::string_view image) const;
+  double heaviest_weight(const worker_state& worker, std::string_view image,
+                         time_point now) const;
+  bool presses(const worker_state& worker, std::string_view image,
+               time_point now) const;
+  bool has_pressing_run(const worker_state& worker, time_point now) const;
+  static bool may_press(const step_state& step, time_point now);
   void move_heavy(worker_state& worker, time_point now);
-  void order_pace(worker_state& worker, int percent);
+  void order_pace(worker_state& worker, int percent, time_point now);
   void replace_at_address(const worker_state& successor, time_point now);
   void leave_worker(worker_state& worker, time_point now);
 
@@ -190,7 +191,7 @@
   bool may_take(const worker_state& worker, const step_state& step,
                 const task_state& task, time_point now) const;
   double cost_of(const worker_state& worker, const step_state& step,
-                 const task_state& task) const;
+                 const task_state& task, time_point now) const;
   void start(step_state& step, int index, worker_state& worker, int number,
              time_point now, std::vector<order>& orders);
 
@@ -201,8 +202,9 @@
   decision_log log_;
   std::map<std::string, queue_policy> queues_;
   std::vector<model::domain_id> closed_domains_;
-  absl::flat_hash_map<std::string, std::unique_ptr<job_entry>> jobs_;
-  absl::flat_hash_map<std::string, std::unique_ptr<worker_state>> workers_;
+  // Ordered, so that equal inputs give equal decisions.
+  std::map<std::string, std::unique_ptr<job_entry>, std::less<>> jobs_;
+  std::map<std::string, std::unique_ptr<worker_state>, std::less<>> workers_;
   disturbance_model disturbance_;
   std::vector<order> orders_;
   std::vector<topic_record> removals_;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -61,7 +61,7 @@
 }
 
 scheduler::job_entry* scheduler::find_job(std::string_view id) {
-  auto found = jobs_.find(absl::string_view(id.data(), id.size()));
+  auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -119,6 +119,9 @@
         if (step.waiting == 0 || !is_ready(step)) {
           continue;
         }
+        if (step.ready_since == time_point()) {
+          step.ready_since = now;
+        }
         ranked_step each{&step, job->policy.priority, 0, job->due.on_time};
         if (!step.spec->lasting) {
           if (now > job->due.late) {
@@ -161,7 +164,8 @@
   }
   auto need = spec.need;
   if (spec.fills) {
-    if (presses(worker, spec.image)) {
+    if (presses(worker, spec.image, now) &&
+        (!may_press(step, now) || has_pressing_run(worker, now))) {
       return obstacle::presses_on_serving;
     }
     if (worker.pace.pressure() > crowded_pressure) {
@@ -212,7 +216,7 @@
 }
 
 double scheduler::cost_of(const worker_state& worker, const step_state& step,
-                          const task_state& task) const {
+                          const task_state& task, time_point now) const {
   const auto& spec = *step.spec;
   const auto& info = worker.entry.info;
   double cost = share(worker.reserved.cpu_millis, info.capacity.cpu_millis);
@@ -231,7 +235,7 @@
            share(static_cast<std::int64_t>(fill_room(worker)),
                  info.capacity.cpu_millis) +
            pressure_cost * worker.pace.pressure() +
-           weight_cost * heaviest_weight(worker, spec.image);
+           weight_cost * heaviest_weight(worker, spec.image, now);
   }
   if (spec.lasting) {
     // Serving tasks share workers so that others stay free for wide tasks,
@@ -254,7 +258,7 @@
         !may_take(*worker, step, task, now)) {
       continue;
     }
-    double cost = cost_of(*worker, step, task);
+    double cost = cost_of(*worker, step, task, now);
     if (best == nullptr || cost < best_cost) {
       best = worker.get();
       best_cost = cost;
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -17,6 +17,9 @@
 constexpr milliseconds measured_span{700};
 /// Progress of a lasting task that is at work.
 constexpr int lasting_at_work = 100;
+/// How long a step waits for a worker on which it presses on nothing. With the
+/// chains of the users' jobs it is then at the edge of its objective.
+constexpr milliseconds apart_patience{3000};
 /// Share of a serving task's target above which what presses on it is moved.
 constexpr double move_above = 0.9;
 
@@ -41,13 +44,13 @@
 }
 
 scheduler::worker_state* scheduler::find_worker(std::string_view id) {
-  auto found = workers_.find(absl::string_view(id.data(), id.size()));
+  auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : found->second.get();
 }
 
 const scheduler::worker_state* scheduler::find_worker(
     std::string_view id) const {
-  auto found = workers_.find(absl::string_view(id.data(), id.size()));
+  auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : found->second.get();
 }
 
@@ -285,26 +288,41 @@
         run->phase == run_phase::running && run->progress == lasting_at_work) {
       disturbance_.learn(spec.image, beside,
                          static_cast<double>(run->measure) /
-                             static_cast<double>(spec.target.count()));
+                             static_cast<double>(spec.target.count()),
+                         now);
     }
   }
 }
 
 double scheduler::heaviest_weight(const worker_state& worker,
-                                  std::string_view image) const {
+                                  std::string_view image,
+                                  time_point now) const {
   double weight = 0;
   for (const auto& ref : worker.runs) {
     const auto& spec = *ref.step->spec;
     if (spec.lasting && spec.target.count() > 0) {
-      weight = std::max(weight, disturbance_.weight(spec.image, image));
+      weight = std::max(weight, disturbance_.weight(spec.image, image, now));
     }
   }
   return weight;
 }
 
-bool scheduler::presses(const worker_state& worker,
-                        std::string_view image) const {
-  return heaviest_weight(worker, image) >= disturbance_model::heavy_weight;
+bool scheduler::presses(const worker_state& worker, std::string_view image,
+                        time_point now) const {
+  return heaviest_weight(worker, image, now) >= disturbance_model::heavy_weight;
+}
+
+bool scheduler::has_pressing_run(const worker_state& worker,
+                                 time_point now) const {
+  return std::ranges::any_of(worker.runs, [&](const auto& ref) {
+    return ref.step->spec->fills && presses(worker, ref.step->spec->image, now);
+  });
+}
+
+/// A step that has found no other place for long runs where it presses, one
+/// task a worker, slowed down whenever a serving task beside it stays late.
+bool scheduler::may_press(const step_state& step, time_point now) {
+  return now - step.ready_since > apart_patience;
 }
 
 /// Takes filling tasks that press on serving ones off the worker.
@@ -314,23 +332,31 @@
     auto* run = ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
         ref.number);
     if (ref.step->spec->fills && run->phase == run_phase::running &&
-        presses(worker, ref.step->spec->image)) {
+        !may_press(*ref.step, now) &&
+        presses(worker, ref.step->spec->image, now)) {
       order_stop(*ref.step, ref.index, *run, "presses_on_serving", now);
     }
   }
 }
 
-void scheduler::order_pace(worker_state& worker, int percent) {
+/// Orders the pace of those that press, or of all if none is known to.
+void scheduler::order_pace(worker_state& worker, int percent, time_point now) {
+  bool known = has_pressing_run(worker, now);
   for (const auto& ref : worker.runs) {
     auto* run = ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
         ref.number);
-    if (ref.step->spec->fills && run->phase == run_phase::running &&
-        run->ordered_percent != percent) {
-      run->ordered_percent = percent;
+    const auto& spec = *ref.step->spec;
+    if (!spec.fills || run->phase != run_phase::running) {
+      continue;
+    }
+    bool slowed = !known || presses(worker, spec.image, now);
+    int wanted = slowed ? percent : 100;
+    if (run->ordered_percent != wanted) {
+      run->ordered_percent = wanted;
       orders_.push_back(pace_order{worker.entry.info.id,
                                    {ref.step->key, ref.index},
                                    ref.number,
-                                   percent});
+                                   wanted});
     }
   }
 }
@@ -354,7 +380,7 @@
   if (pressure > move_above) {
     move_heavy(worker, now);
   }
-  order_pace(worker, percent);
+  order_pace(worker, percent, now);
 }
 
 void scheduler::on_pace_lost(const task_key& task, int run_number) {
