--- a/packages/batch/include/batch/disturbance_model.h
+++ b/packages/batch/include/batch/disturbance_model.h
@@ -37,9 +37,9 @@
   /// Weight from which a pair is kept apart.
   static constexpr double heavy_weight = 0.35;
 
-  /// Time in which half of what is known of a pair fades. The users' images
-  /// change their effect within seconds.
-  static constexpr milliseconds half_life{6000};
+  /// Time in which half of what is known of a pair fades; a trial costs a
+  /// serving task a second over its target.
+  static constexpr milliseconds half_life{30000};
 
   /// @param serving image of the serving task.
   /// @param beside images at work beside it, each once.
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -155,7 +155,10 @@
   bool presses(const worker_state& worker, std::string_view image,
                time_point now) const;
   bool has_pressing_run(const worker_state& worker, time_point now) const;
-  static bool may_press(const step_state& step, time_point now);
+  bool may_press(const step_state& step, time_point now) const;
+  double weight_on_late(const worker_state& worker, std::string_view image,
+                        time_point now) const;
+  void measure_use();
   void move_heavy(worker_state& worker, time_point now);
   void order_pace(worker_state& worker, int percent, time_point now);
   void replace_at_address(const worker_state& successor, time_point now);
@@ -206,6 +209,8 @@
   std::map<std::string, std::unique_ptr<job_entry>, std::less<>> jobs_;
   std::map<std::string, std::unique_ptr<worker_state>, std::less<>> workers_;
   disturbance_model disturbance_;
+  /// Share of the workers' processors that is in use.
+  double use_ = 1;
   std::vector<order> orders_;
   std::vector<topic_record> removals_;
   std::vector<topic_record> progress_removals_;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -458,6 +458,7 @@
   commit out;
   news_ = false;
   expire_leases(now);
+  measure_use();
   open_due_occurrences(now, wall);
   place(now, out.orders);
   for (auto& [id, job] : jobs_) {
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -17,9 +17,13 @@
 constexpr milliseconds measured_span{700};
 /// Progress of a lasting task that is at work.
 constexpr int lasting_at_work = 100;
-/// How long a step waits for a worker on which it presses on nothing. With the
-/// chains of the users' jobs it is then at the edge of its objective.
-constexpr milliseconds apart_patience{3000};
+/// How long a step waits for a worker on which it presses on nothing.
+constexpr milliseconds apart_patience{10000};
+/// The same while much of the workers is unused: batch work must go on then,
+/// and the users count 3 s without a run as lost.
+constexpr milliseconds idle_patience{1500};
+/// Share of the workers' processors in use up to which they count as unused.
+constexpr double idle_use = 0.75;
 /// Share of a serving task's target above which what presses on it is moved.
 constexpr double move_above = 0.9;
 
@@ -321,8 +325,29 @@
 
 /// A step that has found no other place for long runs where it presses, one
 /// task a worker, slowed down whenever a serving task beside it stays late.
-bool scheduler::may_press(const step_state& step, time_point now) {
-  return now - step.ready_since > apart_patience;
+bool scheduler::may_press(const step_state& step, time_point now) const {
+  auto waited = now - step.ready_since;
+  return waited > apart_patience || (waited > idle_patience && use_ < idle_use);
+}
+
+/// @return the largest weight of an image on those serving tasks that are
+///   late.
+double scheduler::weight_on_late(const worker_state& worker,
+                                 std::string_view image, time_point now) const {
+  double weight = 0;
+  for (const auto& ref : worker.runs) {
+    const auto& spec = *ref.step->spec;
+    const auto* run =
+        ref.step->tasks[static_cast<std::size_t>(ref.index)].find_run(
+            ref.number);
+    if (spec.lasting && spec.target.count() > 0 &&
+        run->phase == run_phase::running &&
+        static_cast<double>(run->measure) >
+            move_above * static_cast<double>(spec.target.count())) {
+      weight = std::max(weight, disturbance_.weight(spec.image, image, now));
+    }
+  }
+  return weight;
 }
 
 /// Takes filling tasks that press on serving ones off the worker.
@@ -333,7 +358,8 @@
         ref.number);
     if (ref.step->spec->fills && run->phase == run_phase::running &&
         !may_press(*ref.step, now) &&
-        presses(worker, ref.step->spec->image, now)) {
+        weight_on_late(worker, ref.step->spec->image, now) >=
+            disturbance_model::heavy_weight) {
       order_stop(*ref.step, ref.index, *run, "presses_on_serving", now);
     }
   }
@@ -349,8 +375,12 @@
     if (!spec.fills || run->phase != run_phase::running) {
       continue;
     }
-    bool slowed = !known || presses(worker, spec.image, now);
-    int wanted = slowed ? percent : 100;
+    bool presses_here = presses(worker, spec.image, now);
+    int wanted = !known || presses_here ? percent : 100;
+    if (presses_here) {
+      // At a part of its speed it presses only in part.
+      wanted = std::min(wanted, pace_control::slow_percent);
+    }
     if (run->ordered_percent != wanted) {
       run->ordered_percent = wanted;
       orders_.push_back(pace_order{worker.entry.info.id,
@@ -459,6 +489,21 @@
   }
 }
 
+/// Sums up how much of the workers is in use.
+void scheduler::measure_use() {
+  std::int64_t capacity = 0;
+  std::int64_t used = 0;
+  for (const auto& [id, worker] : workers_) {
+    if (worker->listed && worker->reachable) {
+      capacity += worker->entry.info.capacity.cpu_millis;
+      used += worker->reserved.cpu_millis + worker->fill_cpu;
+    }
+  }
+  use_ = capacity == 0
+             ? 1
+             : static_cast<double>(used) / static_cast<double>(capacity);
+}
+
 void scheduler::expire_leases(time_point now) {
   for (auto& [id, worker] : workers_) {
     if (!worker->runs.empty() && now > worker->lease.over()) {
