Let a step that presses everywhere run where much is unused, slowed down

Change: such a step runs at 30% after 10 s, or after 1.5 s while less than 0.6 of the workers is reserved, one such task a worker; what is known of a pair fades by half in 30 s; only what presses on a task that is late is moved; workers and jobs are kept in order, so that equal inputs give equal decisions.

--- a/packages/batch/include/batch/disturbance_model.h
+++ b/packages/batch/include/batch/disturbance_model.h
@@ -35,7 +35,7 @@
   /// be blamed.
   static constexpr double first_weight = 0.1;
   /// Weight from which a pair is kept apart.
-  static constexpr double heavy_weight = 0.35;
+  static constexpr double heavy_weight = 0.6;
 
   /// Time in which half of what is known of a pair fades; a trial costs a
   /// serving task a second over its target.
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -209,7 +209,7 @@
   std::map<std::string, std::unique_ptr<job_entry>, std::less<>> jobs_;
   std::map<std::string, std::unique_ptr<worker_state>, std::less<>> workers_;
   disturbance_model disturbance_;
-  /// Share of the workers' processors that is in use.
+  /// Share of the workers' processors that is reserved.
   double use_ = 1;
   std::vector<order> orders_;
   std::vector<topic_record> removals_;
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -22,10 +22,10 @@
 /// The same while much of the workers is unused: batch work must go on then,
 /// and the users count 3 s without a run as lost.
 constexpr milliseconds idle_patience{1500};
-/// Share of the workers' processors in use up to which they count as unused.
-constexpr double idle_use = 0.75;
+/// Share of the workers' processors reserved up to which they count as unused.
+constexpr double idle_use = 0.6;
 /// Share of a serving task's target above which what presses on it is moved.
-constexpr double move_above = 0.9;
+constexpr double move_above = 1.0;
 
 }  // namespace
 
@@ -489,14 +489,14 @@
   }
 }
 
-/// Sums up how much of the workers is in use.
+/// Sums up how much of the workers is reserved.
 void scheduler::measure_use() {
   std::int64_t capacity = 0;
   std::int64_t used = 0;
   for (const auto& [id, worker] : workers_) {
     if (worker->listed && worker->reachable) {
       capacity += worker->entry.info.capacity.cpu_millis;
-      used += worker->reserved.cpu_millis + worker->fill_cpu;
+      used += worker->reserved.cpu_millis;
     }
   }
   use_ = capacity == 0
