--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -164,11 +164,13 @@
   }
   auto need = spec.need;
   if (spec.fills) {
-    if (presses(worker, spec.image, now) &&
+    // A job of which nothing runs gets one task in spite of others there.
+    bool starved = may_press(step, now) && !step.job->has_runs();
+    if (!starved && presses(worker, spec.image, now) &&
         (!may_press(step, now) || has_pressing_run(worker, now))) {
       return obstacle::presses_on_serving;
     }
-    if (worker.pace.pressure() > crowded_pressure) {
+    if (!starved && worker.pace.pressure() > crowded_pressure) {
       return obstacle::serving_late;
     }
     if (fill_room(worker) <
