Move tasks that stand still and pause after a refused start

Cause: workers that answer while their tasks stand still kept these for ever; a refused start was tried again at once. The three tests fail without the change.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -38,6 +38,7 @@
   bool is_answered = false;
   /// Share of the task's work that is done; 100 for a lasting task at work.
   int progress = 0;
+  time_point progressed_at;
   int ordered_percent = 100;
   std::int64_t measure = 0;
 };
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -289,6 +289,7 @@
   run.worker = &worker;
   run.life = worker.life;
   run.since = now;
+  run.progressed_at = now;
   task.runs.push_back(run);
   task.last_run = std::max(task.last_run, number);
   worker.runs.push_back({&step, index, number});
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -13,6 +13,11 @@
 
 /// Speaks against a run that a leaving worker would not finish.
 constexpr milliseconds leave_margin{300};
+/// A run without progress for so long stands still. Sound runs gain a hundredth
+/// of their work, at most 5 s at the users' sites, every 50 ms.
+constexpr milliseconds stall_limit{2500};
+/// Pause before a task whose start was refused is placed again.
+constexpr milliseconds refused_pause{200};
 /// A worker measures over half a second, and reports lag a little.
 constexpr milliseconds measured_span{700};
 /// Progress of a lasting task that is at work.
@@ -223,7 +228,7 @@
       continue;
     }
     run->life = worker.life;
-    run->progress = row.progress;
+    watch_progress(*step, row.task.index, *run, row.progress, report.received);
     run->measure = row.measure;
     if (run->phase == run_phase::starting) {
       run->phase = run_phase::running;
@@ -244,6 +249,21 @@
   }
 }
 
+/// Stops a run that stands still on a worker that answers.
+void scheduler::watch_progress(step_state& step, int index, run_state& run,
+                               int progress, time_point now) {
+  bool may_stand = step.spec->lasting || run.phase != run_phase::running ||
+                   run.ordered_percent < 100;
+  if (may_stand || progress > run.progress) {
+    run.progressed_at = now;
+  }
+  run.progress = progress;
+  if (now - run.progressed_at > stall_limit) {
+    run.worker->trust.on_refused(now);
+    order_stop(step, index, run, "stands_still", now);
+  }
+}
+
 double scheduler::pressure_on(const worker_state& worker) const {
   double pressure = 0;
   for (const auto& ref : worker.runs) {
@@ -459,6 +479,8 @@
   note(absl::StrCat("start_refused task=", to_string(task), " run=", run_number,
                     " worker=", id, " outcome=", static_cast<int>(outcome)));
   remove_run(*step, task.index, run_number);
+  step->tasks[static_cast<std::size_t>(task.index)].not_before =
+      now + refused_pause;
 }
 
 void scheduler::on_stop_answered(const model::worker_id& id,
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -382,6 +382,55 @@
   REQUIRE(failed <= 8);
 }
 
+// A worker answers and reports, but what it runs stands still.
+TEST_CASE("pattern: tasks that stand still are moved") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 9000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  f.add_worker("w2", {4000, 9000, 0});
+  for (int n = 0; n < 6; ++n) {
+    f.pass(500ms);
+    f.report_all();
+    f.plan();
+  }
+  f.pass(10ms);
+  f.report_all();
+  f.plan();
+  REQUIRE(f.where("a.0.0.0") == std::vector<std::string>{"w2"});
+  REQUIRE(f.logged("why=stands_still"));
+}
+
+TEST_CASE("a slow task that gains some work is left alone") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 9000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  for (int n = 1; n < 20; ++n) {
+    f.pass(1000ms);
+    f.workers.at("w1").running.at(0).progress = n;
+    f.report("w1");
+    f.plan();
+  }
+  REQUIRE(f.workers.at("w1").running.at(0).number == 1);
+}
+
+TEST_CASE("a task whose start was refused waits before the next try") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 9000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  auto made = f.decisions().plan(f.now(), scheduler_fixture::wall_start);
+  f.decisions().committed();
+  REQUIRE(made.orders.size() == 1);
+  f.decisions().on_start_result("w1", {{"a", 0, 0}, 0}, 1,
+                                start_outcome::no_room, f.now());
+  f.plan();
+  REQUIRE(f.running() == 0);
+  f.pass(300ms);
+  f.plan();
+  REQUIRE(f.running() == 1);
+}
+
 // Many serving tasks of several images arrive at once; a filling image that
 // presses on one of them must find workers without it.
 TEST_CASE("pattern: serving tasks share workers with their like") {
