Remove a job's progress only after its end is stored

A job's end and the removal of its progress went into one commit, whose two parts are appended apart. The progress part was stored, the other was unanswered (writer line append_retried topic=keyed.jobs sequence=33) until a later leader had fenced it off; that one found the job without progress and ran all of it again. Ruled out: a copy of the jobs that lags at the takeover (jobs_end was reached), pages of the newest records (under 200 keys), a late append of the old leader (fenced). Change: a commit is complete once both parts are stored; only then the next one removes the progress.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -91,6 +91,10 @@
   /// State to be stored with the next commit.
   bool state_dirty = false;
   bool cancelled = false;
+  /// The end is part of the commit in flight, or of an earlier one. Only what
+  /// is known to be stored may take the job's progress with it.
+  bool end_committing = false;
+  bool end_stored = false;
 
   bool has_runs() const;
 };
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -92,6 +92,9 @@
   /// Decides what starts; the result must be stored, and reported with
   /// `committed`, before the next call.
   commit plan(time_point now, unix_ms wall);
+  /// The commit's progress is stored; its orders may be sent.
+  void progress_committed();
+  /// All of the commit is stored.
   void committed();
   /// @return orders that need no record.
   std::vector<order> take_orders();
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -174,6 +174,7 @@
     return;
   }
   job->state = state;
+  job->end_stored = true;
   stop_all_runs(*job, now);
   news_ = true;
 }
@@ -435,7 +436,7 @@
 void scheduler::purge_ended(commit& out) {
   std::vector<std::string> gone;
   for (auto& [id, job] : jobs_) {
-    if (!has_ended(job->state) || job->has_runs()) {
+    if (!job->end_stored || job->has_runs()) {
       continue;
     }
     for (const auto& occurrence : job->occurrences) {
@@ -474,6 +475,7 @@
     }
     if (job->state_dirty) {
       job->state_dirty = false;
+      job->end_committing = has_ended(job->state);
       out.jobs.push_back(
           {to_string(job_record_key{record_kind::state, id}),
            encode(job_status{job->state, wall, job->spec->queue})});
@@ -491,12 +493,22 @@
   return out;
 }
 
-void scheduler::committed() {
+void scheduler::progress_committed() {
   for (auto& [id, worker] : workers_) {
     worker->ends_stored = worker->ends_committing;
   }
 }
 
+void scheduler::committed() {
+  progress_committed();
+  for (auto& [id, job] : jobs_) {
+    if (job->end_committing && !job->end_stored) {
+      job->end_stored = true;
+      news_ = true;
+    }
+  }
+}
+
 std::size_t scheduler::waiting_tasks() const {
   std::size_t count = 0;
   for (const auto& [id, job] : jobs_) {
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -69,10 +69,35 @@
   f.plan();
   REQUIRE(f.decisions().stored_end("w1") == 1);
   REQUIRE(stored_state(f, "a") == job_state::completed);
+  f.plan();
   // Nothing but the state is left of the job.
   REQUIRE(f.records.count("a/0/0") == 0);
 }
 
+// The two parts of a commit are stored apart. If the progress of a job went
+// before its end is stored, a new leader would run all of it again.
+TEST_CASE("progress is removed only after the end of its job is stored") {
+  scheduler_fixture f;
+  f.add_worker("w1", {1000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  f.end("a.0.0.0", end_reason::done);
+  f.pass(10ms);
+  f.report("w1");
+  auto ending = f.decisions().plan(f.now(), scheduler_fixture::wall_start);
+  f.decisions().progress_committed();
+  REQUIRE(ending.jobs.size() == 1);
+  REQUIRE(ending.progress.size() == 1);
+  REQUIRE_FALSE(ending.progress[0].value.empty());
+  // A leader that has only this part knows that the task is done.
+  auto tasks = decode_tasks(ending.progress[0].value);
+  REQUIRE(tasks->at(0).done);
+  f.decisions().committed();
+  auto after = f.decisions().plan(f.now(), scheduler_fixture::wall_start);
+  REQUIRE(after.progress.size() == 1);
+  REQUIRE(after.progress[0].value.empty());
+}
+
 TEST_CASE("a task that fails too often fails its job") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 4000, 0});
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -275,7 +275,7 @@
         [self = shared_from_this(), done,
          orders = std::move(commit.orders)](absl::StatusOr<model::offset> end) {
           if (done(end.status())) {
-            self->scheduler.committed();
+            self->scheduler.progress_committed();
             self->links->send(orders);
             self->stored_part();
           }
