--- a/packages/dispatch/include/dispatch/reporter.h
+++ b/packages/dispatch/include/dispatch/reporter.h
@@ -15,6 +15,9 @@
 
   /// Writes one line with the present time.
   void event(std::string_view part, std::string_view line) const;
+  /// The same for one of many decisions of its kind, which gives way to other
+  /// lines where the volume is limited.
+  void routine(std::string_view part, std::string_view line) const;
   /// Counts by a label value.
   void count(std::string_view name, std::string_view label = "",
              std::string_view value = "") const {
--- a/packages/dispatch/src/job_desk.cc
+++ b/packages/dispatch/src/job_desk.cc
@@ -35,7 +35,7 @@
 void job_desk::submit(const queue_route& queue, batch::job_spec spec,
                       std::function<void(submit_result)> done) {
   if (const auto* known = jobs_->find(spec.id); known != nullptr) {
-    report_.event(
+    report_.routine(
         "desk",
         absl::StrCat("submit_repeated id=", spec.id, " state=",
                      std::string(batch::name_of(known->shown_state()))));
@@ -59,14 +59,14 @@
         if (end.ok()) {
           result = submit_result::accepted;
           on_own_record_(record.key, record.value);
-          report_.event("desk",
-                        absl::StrCat("submit_accepted id=", id, " end=", *end,
-                                     " append_ms=", took.count()));
+          report_.routine("desk",
+                          absl::StrCat("submit_accepted id=", id, " end=", *end,
+                                       " append_ms=", took.count()));
         } else {
           if (absl::IsUnavailable(end.status())) {
             result = submit_result::refused;
           }
-          report_.event(
+          report_.routine(
               "desk",
               absl::StrCat("submit_not_stored id=", id,
                            " certain=", result == submit_result::refused,
@@ -89,8 +89,8 @@
       done({job_answer::kind::known, known->shown_state()});
       return;
     }
-    report_.event("desk",
-                  absl::StrCat("show_unknown id=", id, " fresh=", fresh));
+    report_.routine("desk",
+                    absl::StrCat("show_unknown id=", id, " fresh=", fresh));
     done({fresh ? job_answer::kind::no_such_job : job_answer::kind::unavailable,
           {}});
   });
@@ -107,8 +107,8 @@
       cancel_known(id, std::move(done));
       return;
     }
-    report_.event("desk",
-                  absl::StrCat("cancel_unknown id=", id, " fresh=", fresh));
+    report_.routine("desk",
+                    absl::StrCat("cancel_unknown id=", id, " fresh=", fresh));
     done(fresh ? cancel_result::no_such_job : cancel_result::unavailable);
   });
 }
@@ -129,12 +129,12 @@
        done = std::move(done)](absl::StatusOr<model::offset> end) {
         if (end.ok()) {
           on_own_record_(record.key, record.value);
-          report_.event("desk",
-                        absl::StrCat("cancel_accepted id=", id, " end=", *end));
+          report_.routine(
+              "desk", absl::StrCat("cancel_accepted id=", id, " end=", *end));
         } else {
-          report_.event("desk",
-                        absl::StrCat("cancel_not_stored id=", id, " error=",
-                                     runtime::error_message(end.status())));
+          report_.routine("desk",
+                          absl::StrCat("cancel_not_stored id=", id, " error=",
+                                       runtime::error_message(end.status())));
         }
         done(end.ok() ? cancel_result::cancelled : cancel_result::unavailable);
       });
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -7,6 +7,7 @@
 
 #include "batch/job_records.h"
 #include "dispatch/clock.h"
+#include "dispatch/work_timer.h"
 #include "runtime/error.h"
 
 namespace vanillaladder::dispatch {
@@ -28,20 +29,28 @@
         epoch(epoch_in),
         scheduler(options.scheduling, boot_now(),
                   [report = context.report](std::string line) {
-                    report.event("scheduler", line);
+                    report.routine("scheduler", line);
                   }),
         progress_writer(context.loop, context.store,
                         std::string(batch::progress_topic), "leader", epoch,
                         context.may_act, context.report),
         jobs_writer(context.loop, context.store, std::string(batch::jobs_topic),
-                    "leader", epoch, context.may_act, context.report) {}
+                    "leader", epoch, context.may_act, context.report),
+        restoring(context.report, "restore"),
+        linking(context.report, "link_workers"),
+        planning(context.report, "plan"),
+        sending(context.report, "send_orders") {}
 
   void open_writers();
   void load_progress(const std::string& after);
+  void restore();
   void take_over();
+  void link_workers();
   void on_closed_domains();
   void add_known_job(const batch::job_directory::entry& job);
   void plan_soon();
+  batch::commit make_plan();
+  void send(std::span<const batch::order> orders);
   void plan();
   void store(batch::commit commit);
   void stored_part();
@@ -57,6 +66,10 @@
   batch::scheduler scheduler;
   record_writer progress_writer;
   record_writer jobs_writer;
+  work_timer restoring;
+  work_timer linking;
+  work_timer planning;
+  work_timer sending;
   std::unique_ptr<worker_links> links;
   std::vector<batch::topic_record> progress;
   absl::flat_hash_map<std::string, batch::worker_entry> workers;
@@ -151,7 +164,8 @@
   scheduler.add_job(job.spec, boot_now(), wall_now());
 }
 
-void leader::impl::take_over() {
+void leader::impl::restore() {
+  auto held = restoring.begin();
   scheduler.set_queues(context.config.policies());
   on_closed_domains();
   context.jobs.for_each(
@@ -178,13 +192,21 @@
       scheduler.cancel_job(id, boot_now());
     }
   });
+  if (unreadable > 0) {
+    context.report.event(
+        "leader", absl::StrCat("progress_unreadable records=", unreadable));
+  }
+}
+
+void leader::impl::take_over() {
+  restore();
   auto took =
       std::chrono::duration_cast<model::milliseconds>(boot_now() - started);
   context.report.event(
       "leader",
       absl::StrCat("took_over epoch=", epoch, " jobs=", scheduler.jobs(),
-                   " steps=", progress.size(), " unreadable=", unreadable,
-                   " workers=", workers.size(), " took_ms=", took.count()));
+                   " steps=", progress.size(), " workers=", workers.size(),
+                   " took_ms=", took.count()));
   progress.clear();
   links = std::make_unique<worker_links>(
       context.loop, *gateway, scheduler, epoch, options.links, context.may_act,
@@ -192,11 +214,16 @@
                              [this] { superseded("worker"); }},
       context.report);
   active = true;
+  link_workers();
+  tick();
+}
+
+void leader::impl::link_workers() {
+  auto held = linking.begin();
   for (const auto& [id, entry] : workers) {
     scheduler.update_worker(entry, boot_now());
     links->update(entry);
   }
-  tick();
 }
 
 void leader::impl::on_closed_domains() {
@@ -237,14 +264,23 @@
   });
 }
 
+batch::commit leader::impl::make_plan() {
+  auto held = planning.begin();
+  return scheduler.plan(planned_at, wall_now());
+}
+
+void leader::impl::send(std::span<const batch::order> orders) {
+  auto held = sending.begin();
+  links->send(orders);
+}
+
 void leader::impl::plan() {
   if (parts_in_flight > 0 || !active || !context.may_act()) {
     return;
   }
   planned_at = boot_now();
-  auto commit = scheduler.plan(planned_at, wall_now());
-  auto at_once = scheduler.take_orders();
-  links->send(at_once);
+  auto commit = make_plan();
+  send(scheduler.take_orders());
   if (commit.empty()) {
     scheduler.committed();
     return;
@@ -276,7 +312,7 @@
          orders = std::move(commit.orders)](absl::StatusOr<model::offset> end) {
           if (done(end.status())) {
             self->scheduler.progress_committed();
-            self->links->send(orders);
+            self->send(orders);
             self->stored_part();
           }
         });
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dispatch/clock.h"
+#include "dispatch/work_timer.h"
 #include "runtime/error.h"
 
 namespace vanillaladder::dispatch {
@@ -17,6 +18,8 @@
 constexpr std::string_view lease_key = "leader";
 /// How often the state is looked at; bounds the delay of a claim.
 constexpr std::chrono::milliseconds check_interval{50};
+/// A renewal that is sent or answered later than this is logged.
+constexpr std::chrono::milliseconds renewal_late{150};
 /// Pause before an append is tried again.
 constexpr std::chrono::milliseconds retry_pause{200};
 
@@ -114,6 +117,7 @@
         options(std::move(options_in)),
         to(std::move(to_in)),
         report(report_in),
+        loop_lag(report, "behind_timers"),
         rule(options.self, options.lifetime, options.processor),
         follower(loop, store,
                  {options.topic, std::chrono::milliseconds(1000),
@@ -125,6 +129,7 @@
   void take(std::string_view value);
   void check();
   void append(std::function<void()> done);
+  void answered(model::time_point sent, const absl::Status& status);
   void update();
 
   http::event_loop& loop;
@@ -132,8 +137,11 @@
   leadership_options options;
   listener to;
   reporter report;
+  /// How late the loop runs a timer that is due.
+  work_timer loop_lag;
   lease_rule rule;
   topic_follower follower;
+  model::time_point check_due = boot_now();
   bool stopped = false;
   bool appending = false;
   /// Epoch of the leadership that was announced; 0 is none.
@@ -180,12 +188,21 @@
   loop.call_after(check_interval,
                   [self = shared_from_this()] { self->check(); });
   auto now = boot_now();
+  loop_lag.observe(std::max(now - check_due, model::time_point::duration(0)));
+  check_due = now + check_interval;
   if (appending || now < next_append) {
     return;
   }
   // A holder whose time has lapsed renews too: the append succeeds only if
   // nobody has claimed in between.
   if (rule.holds() && !rule.superseded()) {
+    if (now - next_append > renewal_late) {
+      auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
+          now - next_append);
+      report.event("leadership",
+                   absl::StrCat("renewal_late epoch=", rule.epoch(), " ms=",
+                                late.count(), " valid=", rule.valid(now)));
+    }
     next_append = now + options.renewal;
     append([] {});
   } else if (rule.may_claim(now)) {
@@ -203,9 +220,10 @@
   auto at = follower.next();
   store.append(
       options.topic, records, {std::nullopt, at},
-      [self = shared_from_this(), at, records,
+      [self = shared_from_this(), at, records, now,
        done = std::move(done)](absl::StatusOr<model::offset> end) {
         self->appending = false;
+        self->answered(now, end.status());
         if (end.ok()) {
           self->follower.accept({at, {records.begin(), records.end()}});
           done();
@@ -217,6 +235,24 @@
       });
 }
 
+/// Logs how a claim or renewal ended if that was slow or not as hoped.
+void leadership::impl::answered(model::time_point sent,
+                                const absl::Status& status) {
+  auto took = boot_now() - sent;
+  report.metrics()
+      .histogram("vanillaladder_lease_append_seconds")
+      .observe(took);
+  // Most claims end without success while the store refuses.
+  if (took < renewal_late && (status.ok() || !rule.holds())) {
+    return;
+  }
+  auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took);
+  report.event("leadership",
+               absl::StrCat("append_answered epoch=", rule.epoch(),
+                            " holds=", rule.holds(), " after_ms=", ms.count(),
+                            " result=", runtime::error_message(status)));
+}
+
 leadership::leadership(http::event_loop& loop, external::keyed_store& store,
                        leadership_options options, listener to, reporter report)
     : impl_(std::make_shared<impl>(loop, store, std::move(options),
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -5,6 +5,7 @@
 
 #include "batch/lease_bound.h"
 #include "dispatch/clock.h"
+#include "dispatch/work_timer.h"
 #include "runtime/error.h"
 
 namespace vanillaladder::dispatch {
@@ -60,7 +61,8 @@
         options(options_in),
         may_order(std::move(may_order_in)),
         to(std::move(to_in)),
-        report(report_in) {}
+        report(report_in),
+        taking_report(report, "take_report") {}
 
   void ask(const model::worker_id& id);
   void ask_later(const model::worker_id& id, std::chrono::milliseconds pause);
@@ -83,6 +85,7 @@
   std::function<bool()> may_order;
   listener to;
   reporter report;
+  work_timer taking_report;
   absl::flat_hash_map<std::string, link> links;
   bool stopped = false;
 };
@@ -162,6 +165,7 @@
 
 void worker_links::impl::take_report(
     const model::worker_id& id, absl::StatusOr<batch::worker_report> answer) {
+  auto held = taking_report.begin();
   auto found = links.find(id);
   if (found == links.end()) {
     return;
@@ -255,7 +259,7 @@
           outcome = start_outcome::unknown;
         }
         if (answer != order_answer::done) {
-          self->report.event(
+          self->report.routine(
               "links",
               absl::StrCat("start_answer task=", batch::to_string(order.task),
                            " run=", order.run, " worker=", order.worker,
--- a/packages/runtime/include/runtime/event_log.h
+++ b/packages/runtime/include/runtime/event_log.h
@@ -12,10 +12,19 @@
   double lines_per_second = 1500;
   /// Lines that may come at once.
   double burst = 3000;
+  /// Part of both limits that only important lines may use.
+  double reserved_share = 0.1;
   /// Bytes that wait for a slow reader; further lines are dropped.
   std::size_t max_buffered_bytes = 1U << 18;
 };
 
+enum class importance {
+  /// One of many decisions of its kind.
+  routine,
+  /// Changes what the process believes of itself or of what it depends on.
+  important,
+};
+
 /// Structured lines on standard output, one for each decision.
 ///
 /// Lines are collected and written by `flush`, which never blocks. Lines over
@@ -32,15 +41,16 @@
   /// Adds a line "time instance part event...".
   /// @param wall_ms wall clock, in milliseconds since 1970.
   /// @param event name of the event and its "key=value" fields.
+  /// @param weight routine lines leave a part of the limits to important ones.
   void write(std::string_view part, std::string_view event, time_point now,
-             std::int64_t wall_ms);
+             std::int64_t wall_ms, importance weight = importance::routine);
   /// Writes what the reader takes.
   void flush();
 
   std::uint64_t dropped() const { return dropped_total_; }
 
  private:
-  bool take_line(time_point now);
+  bool take_line(time_point now, importance weight);
 
   int descriptor_;
   std::string instance_;
--- a/packages/runtime/src/event_log.cc
+++ b/packages/runtime/src/event_log.cc
@@ -5,8 +5,15 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <climits>
 
 namespace vanillaladder::runtime {
+namespace {
+
+/// Pipes take writes up to this size whole; collectors cut longer ones.
+constexpr std::size_t most_written_at_once = PIPE_BUF;
+
+}  // namespace
 
 event_log::event_log(int descriptor, std::string instance,
                      const event_log_options& options)
@@ -20,12 +27,17 @@
   }
 }
 
-bool event_log::take_line(time_point now) {
+bool event_log::take_line(time_point now, importance weight) {
   std::chrono::duration<double> passed = now - refilled_at_;
   refilled_at_ = now;
   lines_left_ = std::min(
       options_.burst, lines_left_ + passed.count() * options_.lines_per_second);
-  if (lines_left_ < 1 || buffer_.size() >= options_.max_buffered_bytes) {
+  double reserved =
+      weight == importance::important ? 0 : options_.reserved_share;
+  double most_bytes =
+      (1 - reserved) * static_cast<double>(options_.max_buffered_bytes);
+  if (lines_left_ < 1 + reserved * options_.burst ||
+      static_cast<double>(buffer_.size()) >= most_bytes) {
     return false;
   }
   lines_left_ -= 1;
@@ -33,8 +45,8 @@
 }
 
 void event_log::write(std::string_view part, std::string_view event,
-                      time_point now, std::int64_t wall_ms) {
-  if (!take_line(now)) {
+                      time_point now, std::int64_t wall_ms, importance weight) {
+  if (!take_line(now, weight)) {
     ++dropped_;
     ++dropped_total_;
     return;
@@ -52,8 +64,15 @@
 void event_log::flush() {
   std::size_t written = 0;
   while (written < buffer_.size()) {
-    auto count = ::write(descriptor_, buffer_.data() + written,
-                         buffer_.size() - written);
+    auto size = std::min(buffer_.size() - written, most_written_at_once);
+    if (written + size < buffer_.size()) {
+      // Whole lines, where they are short enough.
+      auto end = buffer_.rfind('\n', written + size - 1);
+      if (end != std::string::npos && end >= written) {
+        size = end + 1 - written;
+      }
+    }
+    auto count = ::write(descriptor_, buffer_.data() + written, size);
     if (count <= 0) {
       break;
     }
--- a/packages/runtime/test/event_log_test.cc
+++ b/packages/runtime/test/event_log_test.cc
@@ -36,7 +36,7 @@
 // Under load the volume stays bounded and the loss is visible.
 TEST_CASE("lines over the rate are dropped and counted") {
   pipe_ends ends;
-  event_log log(ends.ends[1], "a", {10, 5, 1U << 16});
+  event_log log(ends.ends[1], "a", {10, 5, 0, 1U << 16});
   for (int n = 0; n < 8; ++n) {
     log.write("p", "e", start, 1);
   }
@@ -46,10 +46,26 @@
   REQUIRE(ends.read_all().find("lines_dropped n=3") != std::string::npos);
 }
 
+// A takeover logs thousands of decisions; that it took place must stay legible.
+TEST_CASE("important lines pass when routine ones are dropped") {
+  pipe_ends ends;
+  event_log log(ends.ends[1], "a", {0, 10, 0.2, 1U << 16});
+  for (int n = 0; n < 20; ++n) {
+    log.write("p", "routine", start, 1);
+  }
+  REQUIRE(log.dropped() == 12);
+  log.write("p", "first", start, 1, importance::important);
+  log.write("p", "second", start, 1, importance::important);
+  log.flush();
+  auto text = ends.read_all();
+  REQUIRE(text.find("first") != std::string::npos);
+  REQUIRE(text.find("second") != std::string::npos);
+}
+
 // A reader that has stopped must not hold up the process.
 TEST_CASE("a full pipe drops lines and does not block") {
   pipe_ends ends;
-  event_log log(ends.ends[1], "a", {1e9, 1e9, 1000});
+  event_log log(ends.ends[1], "a", {1e9, 1e9, 0, 1000});
   std::string line(500, 'x');
   for (int n = 0; n < 1000; ++n) {
     log.write("p", line, start, 1);
