--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -76,6 +76,8 @@
   bool dirty = false;
   /// When its tasks could first start.
   time_point ready_since;
+  /// The last round of placement that has looked at it.
+  std::int64_t round = 0;
   /// When a log line last said why its tasks wait.
   time_point explained_at;
 
--- a/packages/batch/include/batch/orders.h
+++ b/packages/batch/include/batch/orders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <iterator>
 #include <memory>
 #include <string>
 #include <variant>
@@ -61,6 +62,18 @@
   std::vector<order> orders;
 
   bool empty() const { return progress.empty() && jobs.empty(); }
+  /// Appends what has to be stored after this.
+  void add(commit&& later);
 };
 
+inline void commit::add(commit&& later) {
+  auto move_all = [](auto& to, auto& from) {
+    to.insert(to.end(), std::make_move_iterator(from.begin()),
+              std::make_move_iterator(from.end()));
+  };
+  move_all(progress, later.progress);
+  move_all(jobs, later.jobs);
+  move_all(orders, later.orders);
+}
+
 }  // namespace vanillaladder::batch
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -91,9 +91,18 @@
   void on_stop_answered(const model::worker_id& id, const task_key& task,
                         int run, time_point now);
 
+  /// Units of work of a plan if the caller names none.
+  static constexpr int default_plan_units = 16000;
   /// Decides what starts; the result must be stored, and reported with
-  /// `committed`, before the next call.
-  commit plan(time_point now, unix_ms wall);
+  /// `committed`. Several results may be stored as one, in their order.
+  /// @param units work after which no further start is looked for: looks at
+  ///   workers, of which a start counts as several. `is_cut` tells whether
+  ///   that was so; the next plan goes on with what has not been looked at.
+  commit plan(time_point now, unix_ms wall, int units = default_plan_units);
+  /// @return whether the last plan ended before all that waits was looked at.
+  bool is_cut() const { return cut_; }
+  /// @return units that the last plan has spent.
+  int spent() const { return spent_; }
   /// The commit's progress is stored; its orders may be sent.
   void progress_committed();
   /// All of the commit is stored.
@@ -186,7 +195,11 @@
   };
   void explain_behind(step_state& step, const step_state& other,
                       time_point now);
-  bool place_step(step_state& step, time_point now, std::vector<order>& orders);
+  /// What became of a step in a round of placement.
+  enum class placement { looked_at, unmet, cut };
+  placement place_step(step_state& step, time_point now,
+                       std::vector<order>& orders);
+  class candidates;
   bool place_gang(step_state& step, time_point now, std::vector<order>& orders);
   worker_state* choose_worker(const step_state& step, const task_state& task,
                               time_point now, std::string_view rack);
@@ -211,6 +224,7 @@
   void explain_wait(step_state& step, const task_state& task, time_point now);
   bool may_take(const worker_state& worker, const step_state& step,
                 const task_state& task, time_point now) const;
+  bool may_spend() const { return spent_ < units_; }
   double cost_of(const worker_state& worker, const step_state& step,
                  const task_state& task) const;
   void start(step_state& step, int index, worker_state& worker, int number,
@@ -233,6 +247,12 @@
   std::vector<topic_record> removals_;
   std::vector<topic_record> progress_removals_;
   bool news_ = true;
+  /// Work that the present plan may do, and has done.
+  int units_ = 0;
+  mutable int spent_ = 0;
+  bool cut_ = false;
+  /// Counts rounds of placement; a plan that is cut leaves its round open.
+  std::int64_t round_ = 0;
 };
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -471,13 +471,16 @@
   }
 }
 
-commit scheduler::plan(time_point now, unix_ms wall) {
+commit scheduler::plan(time_point now, unix_ms wall, int units) {
   commit out;
   news_ = false;
+  units_ = units;
+  spent_ = 0;
   expire_leases(now);
   measure_use();
   open_due_occurrences(now, wall);
   place(now, out.orders);
+  news_ = news_ || cut_;
   for (auto& [id, job] : jobs_) {
     for (auto& occurrence : job->occurrences) {
       for (auto& step : occurrence.steps) {
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
+#include <tuple>
 
 #include "batch/detail/scheduler_state.h"
 #include "batch/scheduler.h"
@@ -23,6 +25,8 @@
 
 /// Least time between two lines that say why a step waits.
 constexpr milliseconds explain_interval{2000};
+/// What a start costs in looks at a worker: its record, order and log line.
+constexpr int start_units = 64;
 
 // Costs are in units of a wholly used worker.
 constexpr double cold_cost = 2;
@@ -148,6 +152,7 @@
                                            const step_state& step,
                                            const task_state& task,
                                            time_point now) const {
+  ++spent_;
   const auto& info = worker.entry.info;
   const auto& spec = *step.spec;
   if (!worker.listed || !worker.reachable) {
@@ -274,8 +279,71 @@
   return best;
 }
 
+/// Workers that may take the alike tasks of one step, cheapest first.
+///
+/// A start changes the cost of its worker alone, so that the next task needs
+/// no look at the others.
+class scheduler::candidates {
+ public:
+  candidates(const scheduler& owner, const step_state& step,
+             const task_state& task, time_point now)
+      : owner_(owner), step_(step), task_(task), now_(now) {
+    std::size_t position = 0;
+    for (const auto& [id, worker] : owner.workers_) {
+      add(*worker, position++);
+    }
+    std::ranges::make_heap(heap_, dearer);
+  }
+
+  /// @return the cheapest worker, or null. It is a candidate again only after
+  ///   `return_taken`.
+  worker_state* take() {
+    if (heap_.empty()) {
+      return nullptr;
+    }
+    std::ranges::pop_heap(heap_, dearer);
+    taken_ = heap_.back();
+    heap_.pop_back();
+    return taken_.worker;
+  }
+
+  void return_taken() {
+    if (add(*taken_.worker, taken_.position)) {
+      std::ranges::push_heap(heap_, dearer);
+    }
+  }
+
+ private:
+  struct candidate {
+    double cost = 0;
+    /// Decides between equal costs, so that equal inputs give equal decisions.
+    std::size_t position = 0;
+    worker_state* worker = nullptr;
+  };
+
+  static bool dearer(const candidate& a, const candidate& b) {
+    return std::tie(a.cost, a.position) > std::tie(b.cost, b.position);
+  }
+
+  bool add(worker_state& worker, std::size_t position) {
+    if (!owner_.may_take(worker, step_, task_, now_)) {
+      return false;
+    }
+    heap_.push_back({owner_.cost_of(worker, step_, task_), position, &worker});
+    return true;
+  }
+
+  const scheduler& owner_;
+  const step_state& step_;
+  const task_state& task_;
+  time_point now_;
+  std::vector<candidate> heap_;
+  candidate taken_;
+};
+
 void scheduler::start(step_state& step, int index, worker_state& worker,
                       int number, time_point now, std::vector<order>& orders) {
+  spent_ += start_units;
   auto& task = step.tasks[static_cast<std::size_t>(index)];
   add_run(step, index, worker, number, now);
   step.dirty = true;
@@ -361,52 +429,90 @@
   }
 }
 
-/// @return whether the step left a task waiting that needs no more than the
-///   step's other tasks.
-bool scheduler::place_step(step_state& step, time_point now,
-                           std::vector<order>& orders) {
+/// @return `unmet` if a task is left waiting that needs no more than the step's
+///   other tasks, `cut` if the plan's work is spent.
+scheduler::placement scheduler::place_step(step_state& step, time_point now,
+                                           std::vector<order>& orders) {
   if (step.spec->gang) {
     place_gang(step, now, orders);
-    return false;
+    return placement::looked_at;
   }
+  std::optional<candidates> alike;
   for (std::size_t n = 0; n < step.tasks.size(); ++n) {
     auto& task = step.tasks[n];
     if (!task.waits() || now < task.not_before) {
       continue;
     }
-    auto* worker = choose_worker(step, task, now, "");
-    if (worker != nullptr) {
-      start(step, static_cast<int>(n), *worker, task.last_run + 1, now, orders);
+    if (!may_spend()) {
+      return placement::cut;
+    }
+    bool starved = step.spec->fills && is_starved(step, now);
+    // One that has failed avoids its last worker and prefers proven ones.
+    bool is_alike = task.failures == 0 && !starved;
+    worker_state* worker = nullptr;
+    if (is_alike) {
+      if (!alike) {
+        alike.emplace(*this, step, task, now);
+      }
+      worker = alike->take();
     } else {
+      worker = choose_worker(step, task, now, "");
+    }
+    if (worker == nullptr) {
       explain_wait(step, task, now);
       if (task.failures == 0) {
         // The step's other tasks need the same.
-        return true;
+        return placement::unmet;
       }
+      continue;
+    }
+    start(step, static_cast<int>(n), *worker, task.last_run + 1, now, orders);
+    if (is_alike) {
+      alike->return_taken();
+    } else {
+      alike.reset();
     }
   }
-  return false;
+  return placement::looked_at;
 }
 
 void scheduler::place(time_point now, std::vector<order>& orders) {
+  if (!cut_) {
+    ++round_;
+  }
+  cut_ = false;
   // What found no worker in this round: those that need as much or more are
   // passed over, since under load most steps wait and a look at all workers
   // for each takes longer than the round may.
   std::vector<unmet_demand> unmet;
   for (const auto& each : rank_steps(now)) {
     auto& step = *each.step;
+    if (step.round == round_) {
+      continue;
+    }
+    if (!may_spend()) {
+      cut_ = true;
+      return;
+    }
     bool starved = step.spec->fills && is_starved(step, now);
     double speed = step.spec->fills ? least_speed(step, now) : 0;
     auto found = std::ranges::find_if(unmet, [&](const auto& demand) {
       return demand.covers(step, starved, speed);
     });
     if (found != unmet.end()) {
+      step.round = round_;
       explain_behind(step, *found->step, now);
       continue;
     }
+    auto result = place_step(step, now, orders);
+    if (result == placement::cut) {
+      cut_ = true;
+      return;
+    }
+    step.round = round_;
     bool restricted =
         !step.spec->required_label.empty() || step.spec->per_worker_limit > 0;
-    if (place_step(step, now, orders) && !restricted) {
+    if (result == placement::unmet && !restricted) {
       unmet.push_back({&step, speed});
     }
   }
--- /dev/null
+++ b/packages/batch/src/work_budget.cc
@@ -0,0 +1,27 @@
+#include "batch/work_budget.h"
+
+#include <algorithm>
+
+namespace vanillaladder::batch {
+namespace {
+
+/// Most that the budget grows from one turn to the next.
+constexpr double most_growth = 1.5;
+
+}  // namespace
+
+void work_budget::observe(int spent, std::chrono::nanoseconds held) {
+  // The fixed cost of a turn says little about that of a unit.
+  if (spent < least_units / 2) {
+    return;
+  }
+  std::chrono::duration<double> most = target;
+  std::chrono::duration<double> took = held;
+  double fitting = took.count() <= 0
+                       ? most_units
+                       : static_cast<double>(spent) * (most / took);
+  fitting = std::min(fitting, units_ * most_growth);
+  units_ = std::clamp(static_cast<int>(fitting), least_units, most_units);
+}
+
+}  // namespace vanillaladder::batch
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -96,8 +96,8 @@
   }
 
   /// Plans, stores and carries out the orders.
-  commit plan() {
-    auto made = decisions_->plan(now_, wall_start);
+  commit plan(int units = scheduler::default_plan_units) {
+    auto made = decisions_->plan(now_, wall_start, units);
     stored(made);
     decisions_->committed();
     carry_out(made.orders);
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -537,5 +537,35 @@
   REQUIRE(f.running() == jobs * tasks);
 }
 
+// A plan that is cut must not begin again with what found no worker before.
+TEST_CASE("steps without a worker don't use up every cut plan") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  constexpr int blocked = 20;
+  for (int n = 0; n < blocked; ++n) {
+    auto step = scheduler_fixture::step(1, 1000);
+    step.required_label = "missing" + std::to_string(n);
+    f.add_job("a" + std::to_string(n), {step});
+  }
+  f.add_job("b", {scheduler_fixture::step(1, 1000)});
+  for (int n = 0; n <= blocked && f.running() == 0; ++n) {
+    f.plan(1);
+  }
+  REQUIRE(f.where("b.0.0.0").size() == 1);
+}
+
+TEST_CASE("a plan that is cut goes on where it ended") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(3, 1000)});
+  f.plan(1);
+  REQUIRE(f.running() == 1);
+  REQUIRE(f.decisions().is_cut());
+  REQUIRE(f.decisions().has_news());
+  f.plan();
+  REQUIRE(f.running() == 3);
+  REQUIRE_FALSE(f.decisions().is_cut());
+}
+
 }  // namespace
 }  // namespace vanillaladder::batch
--- /dev/null
+++ b/packages/batch/test/work_budget_test.cc
@@ -0,0 +1,42 @@
+#include "batch/work_budget.h"
+
+#include <catch2/catch.hpp>
+
+namespace vanillaladder::batch {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Takes turns that spend all of their budget.
+void run_turns(work_budget& budget, std::chrono::nanoseconds unit, int turns) {
+  for (int n = 0; n < turns; ++n) {
+    budget.observe(budget.units(), budget.units() * unit);
+  }
+}
+
+TEST_CASE("a turn takes the target's time on fast and slow processors") {
+  for (auto unit : {300ns, 1000ns, 8000ns}) {
+    work_budget budget;
+    run_turns(budget, unit, 20);
+    auto held = budget.units() * unit;
+    REQUIRE(held <= work_budget::target);
+    REQUIRE(held >= work_budget::target / 2);
+  }
+}
+
+// An instance that turns slow must not hold its loop for several turns.
+TEST_CASE("one slow turn is enough to shorten the next") {
+  work_budget budget;
+  run_turns(budget, 300ns, 20);
+  budget.observe(budget.units(), budget.units() * 3000ns);
+  REQUIRE(budget.units() * 3000ns <= work_budget::target);
+}
+
+TEST_CASE("turns that did little leave the budget as it is") {
+  work_budget budget;
+  budget.observe(10, 40ms);
+  REQUIRE(budget.units() == work_budget::first_units);
+}
+
+}  // namespace
+}  // namespace vanillaladder::batch
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -4,8 +4,10 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "batch/job_records.h"
+#include "batch/work_budget.h"
 #include "dispatch/clock.h"
 #include "dispatch/work_timer.h"
 #include "runtime/error.h"
@@ -14,6 +16,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_pause{100};
+/// A plan that is cut goes on after other work of the loop; its parts share an
+/// append, as long as the first start doesn't wait for longer than this.
+constexpr std::chrono::milliseconds longest_planning{200};
 /// How often ended jobs are looked through for those to forget.
 constexpr std::chrono::seconds sweep_interval{10};
 
@@ -52,6 +57,7 @@
   batch::commit make_plan();
   void send(std::span<const batch::order> orders);
   void plan();
+  void plan_part();
   void store(batch::commit commit);
   void stored_part();
   void tick();
@@ -64,6 +70,9 @@
   std::unique_ptr<external::worker_gateway> gateway;
   model::epoch epoch;
   batch::scheduler scheduler;
+  batch::work_budget budget;
+  /// Parts of a plan that is not complete.
+  batch::commit planned;
   record_writer progress_writer;
   record_writer jobs_writer;
   work_timer restoring;
@@ -74,10 +83,13 @@
   std::vector<batch::topic_record> progress;
   absl::flat_hash_map<std::string, batch::worker_entry> workers;
   model::time_point started = boot_now();
+  /// When the present plan, or the last one, was begun.
   model::time_point planned_at;
   bool active = false;
   bool stopped = false;
   bool plan_due = false;
+  /// A plan was cut and goes on soon.
+  bool planning_on = false;
   int parts_in_flight = 0;
   model::time_point swept_at = boot_now();
 };
@@ -251,7 +263,7 @@
 }
 
 void leader::impl::plan_soon() {
-  if (plan_due || parts_in_flight > 0 || !active) {
+  if (plan_due || parts_in_flight > 0 || planning_on || !active) {
     return;
   }
   plan_due = true;
@@ -266,7 +278,10 @@
 
 batch::commit leader::impl::make_plan() {
   auto held = planning.begin();
-  return scheduler.plan(planned_at, wall_now());
+  auto now = boot_now();
+  auto made = scheduler.plan(now, wall_now(), budget.units());
+  budget.observe(scheduler.spent(), boot_now() - now);
+  return made;
 }
 
 void leader::impl::send(std::span<const batch::order> orders) {
@@ -275,14 +290,30 @@
 }
 
 void leader::impl::plan() {
-  if (parts_in_flight > 0 || !active || !context.may_act()) {
+  if (parts_in_flight > 0 || planning_on || !active || !context.may_act()) {
     return;
   }
   planned_at = boot_now();
-  auto commit = make_plan();
+  plan_part();
+}
+
+/// Plans until the turn's budget is spent; a renewal of the lease, reports and
+/// callers come before the next part.
+void leader::impl::plan_part() {
+  planned.add(make_plan());
   send(scheduler.take_orders());
+  planning_on =
+      scheduler.is_cut() && boot_now() - planned_at < longest_planning;
+  if (planning_on) {
+    later(std::chrono::milliseconds(0), [this] { plan_part(); });
+    return;
+  }
+  auto commit = std::exchange(planned, {});
   if (commit.empty()) {
     scheduler.committed();
+    if (scheduler.is_cut()) {
+      plan_soon();
+    }
     return;
   }
   store(std::move(commit));
