--- a/packages/dispatch/include/dispatch/leadership.h
+++ b/packages/dispatch/include/dispatch/leadership.h
@@ -51,6 +51,9 @@
   static constexpr std::chrono::milliseconds weak_pause{500};
   /// Share of the strongest holder's processor below which a daemon is weak.
   static constexpr double weak_share = 0.5;
+  /// How long others leave the claim to the last holder once they see the
+  /// topic again: a holder asks every 150 to 200 ms whether the store is back.
+  static constexpr std::chrono::milliseconds return_pause{400};
   /// Thousandths of a core below which it is while no holder is known: the
   /// leader of 490 workers uses 400.
   static constexpr int weak_processor = 250;
@@ -65,6 +68,10 @@
   void on_record(const lease_record& record, model::time_point now);
   /// The topic has been read for the first time.
   void on_loaded(model::time_point now);
+  /// The topic can't be read; what it holds meanwhile is not known.
+  void on_blind() { blind_ = true; }
+  /// The topic has been read to its end.
+  void on_seen(model::time_point now);
   /// A record of ours is about to be sent.
   /// @return the record.
   lease_record on_sending(model::time_point now);
@@ -96,7 +103,11 @@
   bool loaded_ = false;
   bool resigned_ = false;
   bool superseded_ = false;
+  bool blind_ = false;
   model::time_point seen_at_;
+  /// When the topic could be read again after it could not; claims that others
+  /// have precedence for wait from then on.
+  model::time_point returned_at_;
   model::epoch epoch_ = 0;
   std::int64_t sequence_ = 0;
   model::time_point sent_at_;
--- a/packages/dispatch/include/dispatch/topic_follower.h
+++ b/packages/dispatch/include/dispatch/topic_follower.h
@@ -31,6 +31,8 @@
     std::function<void(std::string_view key, std::string_view value)> record;
     /// Called after a start with all keys that exist; others are gone.
     std::function<void(const std::set<std::string>& keys)> loaded;
+    /// Called when reads begin to fail, and when one succeeds again.
+    std::function<void(bool in_touch)> touch = {};
   };
 
   /// @param loop must outlive the follower, as must `store`.
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -71,6 +71,13 @@
   }
 }
 
+void lease_rule::on_seen(model::time_point now) {
+  if (blind_) {
+    blind_ = false;
+    returned_at_ = now;
+  }
+}
+
 lease_record lease_rule::on_sending(model::time_point now) {
   sent_at_ = now;
   lease_record record;
@@ -85,15 +92,18 @@
 }
 
 bool lease_rule::may_claim(model::time_point now) const {
-  if (!loaded_ || resigned_ || holds()) {
+  if (!loaded_ || resigned_ || blind_ || holds()) {
     return false;
   }
-  auto since = now - seen_at_;
   auto pause = is_weak() ? weak_pause : std::chrono::milliseconds(0);
-  if (!last_ || last_->released) {
-    return since >= pause;
-  }
-  return since > lifetime_ + pause;
+  bool is_free = !last_ || last_->released;
+  bool lapsed =
+      is_free ? now - seen_at_ >= pause : now - seen_at_ > lifetime_ + pause;
+  // An outage of the store lets all pauses pass at once.
+  auto since_return = now - returned_at_;
+  return lapsed &&
+         since_return >=
+             pause + (is_free ? std::chrono::milliseconds(0) : return_pause);
 }
 
 bool lease_rule::is_weak() const {
@@ -123,7 +133,14 @@
                  {options.topic, std::chrono::milliseconds(1000),
                   options.renewal - std::chrono::milliseconds(100)},
                  {[this](auto, auto value) { take(value); },
-                  [this](const auto&) { rule.on_loaded(boot_now()); }},
+                  [this](const auto&) { rule.on_loaded(boot_now()); },
+                  [this](bool in_touch) {
+                    if (in_touch) {
+                      rule.on_seen(boot_now());
+                    } else {
+                      rule.on_blind();
+                    }
+                  }},
                  report) {}
 
   void take(std::string_view value);
--- a/packages/dispatch/src/topic_follower.cc
+++ b/packages/dispatch/src/topic_follower.cc
@@ -66,6 +66,9 @@
     report.event("follower",
                  absl::StrCat("dependency_lost topic=", options.topic,
                               " error=", runtime::error_message(status)));
+    if (to.touch) {
+      to.touch(false);
+    }
   }
   report.count("vanillaladder_store_read_failures_total", "topic",
                options.topic);
@@ -77,6 +80,9 @@
     in_touch = true;
     report.event("follower", absl::StrCat("dependency_regained topic=",
                                           options.topic, " next=", next));
+    if (to.touch) {
+      to.touch(true);
+    }
   }
 }
 
--- a/packages/dispatch/test/lease_rule_test.cc
+++ b/packages/dispatch/test/lease_rule_test.cc
@@ -67,6 +67,43 @@
   REQUIRE(weak.on_sending(start + 1s).most_processor == 500);
 }
 
+// Guards against a weak instance that leads after each outage of the store,
+// since all had waited for long when it came back.
+TEST_CASE("after an outage strong daemons claim before weak ones") {
+  lease_rule weak("weak", lifetime, 100);
+  lease_rule strong("strong", lifetime, 500);
+  auto back = start + 5s;
+  for (auto* rule : {&weak, &strong}) {
+    rule->on_loaded(start);
+    rule->on_record({"gone", 1, 1, false, 500}, start);
+    rule->on_blind();
+    REQUIRE_FALSE(rule->may_claim(back));
+    rule->on_seen(back);
+    REQUIRE_FALSE(rule->may_claim(back));
+  }
+  auto first = back + lease_rule::return_pause;
+  REQUIRE(strong.may_claim(first));
+  REQUIRE_FALSE(weak.may_claim(first));
+  REQUIRE(weak.may_claim(first + lease_rule::weak_pause));
+}
+
+// A holder that has outlived the outage knows the workers; a change costs a
+// takeover.
+TEST_CASE("after an outage the last holder renews before others claim") {
+  lease_rule holder("a", lifetime);
+  lease_rule other("b", lifetime);
+  for (auto* rule : {&holder, &other}) {
+    rule->on_loaded(start);
+    rule->on_record({"a", 1, 1, false}, start);
+    rule->on_blind();
+    rule->on_seen(start + 5s);
+  }
+  REQUIRE(holder.holds());
+  REQUIRE_FALSE(other.may_claim(start + 5s + lease_rule::return_pause - 1ms));
+  other.on_record({"a", 1, 2, false}, start + 5s + 300ms);
+  REQUIRE_FALSE(other.may_claim(start + 5s + lease_rule::return_pause));
+}
+
 TEST_CASE("a leader is valid from the sending of its record") {
   lease_rule rule("a", lifetime);
   rule.on_loaded(start);
