--- a/packages/dispatch/include/dispatch/topic_follower.h
+++ b/packages/dispatch/include/dispatch/topic_follower.h
@@ -54,6 +54,8 @@
   void when_reached(model::offset offset, std::function<void()> done);
 
   bool loaded() const;
+  /// @return whether the last read succeeded.
+  bool in_touch() const;
   /// @return offset of the next record to read.
   model::offset next() const;
   /// @return when the last read that succeeded was sent.
--- a/packages/dispatch/src/job_desk.cc
+++ b/packages/dispatch/src/job_desk.cc
@@ -42,6 +42,16 @@
     done(submit_result::accepted);
     return;
   }
+  if (!follower_->in_touch()) {
+    // An append now could only fail, mostly without telling whether it took
+    // effect, and then the caller doesn't know whether the job will run.
+    report_.count("vanillaladder_submissions_refused_total", "reason",
+                  "store_away");
+    report_.routine("desk", absl::StrCat("submit_refused id=", spec.id,
+                                         " reason=store_away"));
+    done(submit_result::refused);
+    return;
+  }
   spec.queue = queue.name;
   spec.policy = queue.policy;
   spec.accepted = wall_now();
--- a/packages/dispatch/src/topic_follower.cc
+++ b/packages/dispatch/src/topic_follower.cc
@@ -240,6 +240,10 @@
   return impl_->loaded;
 }
 
+bool topic_follower::in_touch() const {
+  return impl_->in_touch;
+}
+
 model::offset topic_follower::next() const {
   return impl_->next;
 }
--- /dev/null
+++ b/packages/dispatch/test/fake_store.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <vector>
+
+#include "external/keyed_store.h"
+#include "http/event_loop.h"
+
+namespace vanillaladder::dispatch {
+
+/// A store of one topic in memory that can be taken away.
+class fake_store : public external::keyed_store {
+ public:
+  explicit fake_store(http::event_loop& loop) : loop_(&loop) {}
+
+  void append(const std::string&, std::span<const batch::topic_record> records,
+              external::append_terms, append_callback done) override {
+    ++appends;
+    if (away) {
+      loop_->post([done] { done(absl::UnknownError("reset")); });
+      return;
+    }
+    topic.insert(topic.end(), records.begin(), records.end());
+    auto end = static_cast<model::offset>(topic.size());
+    loop_->post([done, end] { done(end); });
+  }
+
+  void read(const std::string&, model::offset from, std::chrono::milliseconds,
+            read_callback done) override {
+    if (away) {
+      loop_->post([done] { done(absl::UnknownError("reset")); });
+      return;
+    }
+    external::record_batch batch;
+    batch.from = from;
+    batch.records.assign(topic.begin() + from, topic.end());
+    // Stands for the wait of a read that finds nothing.
+    loop_->call_after(std::chrono::milliseconds(1),
+                      [done, batch = std::move(batch)] { done(batch); });
+  }
+
+  void newest(const std::string&, const std::string&,
+              newest_callback done) override {
+    external::newest_page page;
+    page.records = topic;
+    page.end = static_cast<model::offset>(topic.size());
+    loop_->post([done, page = std::move(page)] { done(page); });
+  }
+
+  bool away = false;
+  int appends = 0;
+  std::vector<batch::topic_record> topic;
+
+ private:
+  http::event_loop* loop_;
+};
+
+}  // namespace vanillaladder::dispatch
