--- a/packages/dispatch/include/dispatch/worker_links.h
+++ b/packages/dispatch/include/dispatch/worker_links.h
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <functional>
 #include <memory>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -56,8 +55,8 @@
 
   /// Takes a worker's present entry and asks for its reports.
   void update(const batch::worker_entry& entry);
-  /// Sends orders; a stop is repeated until it is answered.
-  void send(std::span<const batch::order> orders);
+  /// Sends an order; a stop is repeated until it is answered.
+  void send(const batch::order& order);
 
  private:
   struct impl;
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -4,6 +4,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <deque>
+#include <iterator>
 #include <utility>
 
 #include "batch/job_records.h"
@@ -19,6 +21,10 @@
 /// A plan that is cut goes on after other work of the loop; its parts share an
 /// append, as long as the first start doesn't wait for longer than this.
 constexpr std::chrono::milliseconds longest_planning{200};
+/// Orders sent and workers linked in one turn of the loop: each takes up to
+/// 1 ms on the weakest instances, and a renewal of the lease waits behind them.
+constexpr std::size_t orders_at_once = 32;
+constexpr std::size_t links_at_once = 64;
 /// How often ended jobs are looked through for those to forget.
 constexpr std::chrono::seconds sweep_interval{10};
 
@@ -50,12 +56,13 @@
   void load_progress(const std::string& after);
   void restore();
   void take_over();
-  void link_workers();
+  void link_workers(std::vector<model::worker_id> ids);
   void on_closed_domains();
   void add_known_job(const batch::job_directory::entry& job);
   void plan_soon();
   batch::commit make_plan();
-  void send(std::span<const batch::order> orders);
+  void send(std::vector<batch::order> orders);
+  void send_some();
   void plan();
   void plan_part();
   void store(batch::commit commit);
@@ -71,6 +78,8 @@
   model::epoch epoch;
   batch::scheduler scheduler;
   batch::work_budget budget;
+  /// Orders that may be sent, in their order.
+  std::deque<batch::order> unsent;
   /// Parts of a plan that is not complete.
   batch::commit planned;
   record_writer progress_writer;
@@ -226,15 +235,28 @@
                              [this] { superseded("worker"); }},
       context.report);
   active = true;
-  link_workers();
+  std::vector<model::worker_id> known;
+  for (const auto& [id, entry] : workers) {
+    known.push_back(id);
+  }
+  link_workers(std::move(known));
   tick();
 }
 
-void leader::impl::link_workers() {
+/// Opens the links to known workers, some in each turn.
+void leader::impl::link_workers(std::vector<model::worker_id> ids) {
   auto held = linking.begin();
-  for (const auto& [id, entry] : workers) {
-    scheduler.update_worker(entry, boot_now());
-    links->update(entry);
+  auto count = std::min(ids.size(), links_at_once);
+  for (std::size_t n = 0; n < count; ++n) {
+    if (auto found = workers.find(ids[n]); found != workers.end()) {
+      scheduler.update_worker(found->second, boot_now());
+      links->update(found->second);
+    }
+  }
+  ids.erase(ids.begin(), ids.begin() + static_cast<std::ptrdiff_t>(count));
+  if (!ids.empty()) {
+    later(std::chrono::milliseconds(0),
+          [this, ids = std::move(ids)] { link_workers(ids); });
   }
 }
 
@@ -284,9 +306,26 @@
   return made;
 }
 
-void leader::impl::send(std::span<const batch::order> orders) {
+void leader::impl::send(std::vector<batch::order> orders) {
+  bool is_sending = !unsent.empty();
+  unsent.insert(unsent.end(), std::make_move_iterator(orders.begin()),
+                std::make_move_iterator(orders.end()));
+  if (!is_sending && !unsent.empty()) {
+    send_some();
+  }
+}
+
+/// Sends orders until the turn's share of them is out.
+void leader::impl::send_some() {
   auto held = sending.begin();
-  links->send(orders);
+  auto count = std::min(unsent.size(), orders_at_once);
+  for (std::size_t n = 0; n < count; ++n) {
+    links->send(unsent.front());
+    unsent.pop_front();
+  }
+  if (!unsent.empty()) {
+    later(std::chrono::milliseconds(0), [this] { send_some(); });
+  }
 }
 
 void leader::impl::plan() {
@@ -339,11 +378,11 @@
     ++parts_in_flight;
     progress_writer.append(
         commit.progress,
-        [self = shared_from_this(), done,
-         orders = std::move(commit.orders)](absl::StatusOr<model::offset> end) {
+        [self = shared_from_this(), done, orders = std::move(commit.orders)](
+            absl::StatusOr<model::offset> end) mutable {
           if (done(end.status())) {
             self->scheduler.progress_committed();
-            self->send(orders);
+            self->send(std::move(orders));
             self->stored_part();
           }
         });
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -274,10 +274,11 @@
 
 void worker_links::impl::send_stop(const batch::stop_order& order) {
   auto found = links.find(order.worker);
-  if (found == links.end()) {
+  if (found == links.end() && !decisions.wants_contact(order.worker)) {
     return;
   }
-  if (!may_order()) {
+  // A worker without a link is to be linked, or its runs end with its lease.
+  if (found == links.end() || !may_order()) {
     later(options.retry_pause, [this, order] { send_stop(order); });
     return;
   }
@@ -347,7 +348,7 @@
   }
 }
 
-void worker_links::send(std::span<const batch::order> orders) {
+void worker_links::send(const batch::order& order) {
   struct sender {
     impl& links;
     void operator()(const batch::start_order& order) const {
@@ -360,9 +361,7 @@
       links.send_pace(order);
     }
   };
-  for (const auto& order : orders) {
-    std::visit(sender{*impl_}, order);
-  }
+  std::visit(sender{*impl_}, order);
 }
 
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/test/job_desk_test.cc
+++ b/packages/dispatch/test/job_desk_test.cc
@@ -1,41 +1,15 @@
 #include "dispatch/job_desk.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
 #include <optional>
 
-#include "batch/job_records.h"
-#include "fake_store.h"
+#include "daemon_fixture.h"
 
 namespace vanillaladder::dispatch {
 namespace {
 
-using namespace std::chrono_literals;
-
-struct fixture {
-  http::event_loop loop;
-  fake_store store{loop};
-  int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
-  runtime::event_log log{sink, "a"};
-  runtime::metrics metrics;
-  reporter report{log, metrics};
-  batch::job_directory jobs;
-  config_view config;
+struct fixture : daemon_fixture {
   queue_route queue{"q", "host", "/q/", {}};
-  std::optional<bool> touch;
-  topic_follower follower{
-      loop,
-      store,
-      {"jobs", 1ms, 1ms},
-      {[this](auto key, auto value) { jobs.apply(key, value); },
-       {},
-       [this](bool in_touch) {
-         touch = in_touch;
-         loop.stop();
-       }},
-      report};
   job_desk desk{store,
                 jobs,
                 config,
@@ -43,21 +17,6 @@
                 [this](auto key, auto value) { jobs.apply(key, value); },
                 report};
 
-  fixture() {
-    follower.start();
-    run_until([this] { return follower.loaded(); });
-  }
-  ~fixture() { close(sink); }
-  fixture(const fixture&) = delete;
-  fixture& operator=(const fixture&) = delete;
-
-  void run_until(const std::function<bool()>& reached) {
-    while (!reached()) {
-      loop.call_after(1ms, [this] { loop.stop(); });
-      loop.run();
-    }
-  }
-
   submit_result submit(const std::string& id) {
     batch::job_spec spec;
     spec.id = id;
--- /dev/null
+++ b/packages/dispatch/test/leader_test.cc
@@ -0,0 +1,50 @@
+#include "dispatch/leader.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "daemon_fixture.h"
+#include "silent_gateway.h"
+
+namespace vanillaladder::dispatch {
+namespace {
+
+// Guards against a takeover that holds the loop for as long as there are
+// workers to link, while the renewal of the lease waits.
+TEST_CASE("a leader of many workers links them in many turns of the loop") {
+  constexpr int workers = 2000;
+  daemon_fixture f;
+  gateway_calls calls;
+  leader_context context{f.loop,
+                         f.store,
+                         f.jobs,
+                         f.config,
+                         f.follower,
+                         f.report,
+                         [] { return true; },
+                         [](std::string_view) {}};
+  leader lead(std::move(context), {}, std::make_unique<silent_gateway>(calls),
+              1);
+  for (int n = 0; n < workers; ++n) {
+    batch::worker_entry entry;
+    entry.info.id = "w" + std::to_string(n);
+    entry.info.address = "10.0.0.1";
+    entry.info.port = static_cast<std::uint16_t>(n + 1);
+    lead.on_worker(entry);
+  }
+  int most = 0;
+  int before = 0;
+  // Runs with each turn, as the renewal of the lease could.
+  std::function<void()> observe = [&] {
+    most = std::max(most, calls.reports - before);
+    before = calls.reports;
+    f.loop.call_after(std::chrono::milliseconds(0), observe);
+  };
+  observe();
+  lead.start();
+  f.run_until([&] { return calls.reports == workers; });
+  REQUIRE(most <= workers / 4);
+}
+
+}  // namespace
+}  // namespace vanillaladder::dispatch
--- /dev/null
+++ b/packages/dispatch/test/silent_gateway.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "external/worker_gateway.h"
+
+namespace vanillaladder::dispatch {
+
+struct gateway_calls {
+  int reports = 0;
+  int stops = 0;
+};
+
+/// Workers that never answer.
+struct silent_gateway : external::worker_gateway {
+  explicit silent_gateway(gateway_calls& calls_in) : calls(&calls_in) {}
+
+  void report(const model::worker_info&, const external::report_request&,
+              std::chrono::milliseconds, report_callback) override {
+    ++calls->reports;
+  }
+  void start(const model::worker_info&, const batch::start_order&,
+             const external::order_permit&, std::chrono::milliseconds,
+             order_callback) override {}
+  void stop(const model::worker_info&, const batch::stop_order&, model::epoch,
+            std::chrono::milliseconds, order_callback) override {
+    ++calls->stops;
+  }
+  void pace(const model::worker_info&, const batch::pace_order&, model::epoch,
+            std::chrono::milliseconds, order_callback) override {}
+  void forget(const model::worker_id&) override {}
+
+  gateway_calls* calls;
+};
+
+}  // namespace vanillaladder::dispatch
--- /dev/null
+++ b/packages/dispatch/test/worker_links_test.cc
@@ -0,0 +1,35 @@
+#include "dispatch/worker_links.h"
+
+#include <catch2/catch.hpp>
+
+#include "daemon_fixture.h"
+#include "dispatch/clock.h"
+#include "silent_gateway.h"
+
+namespace vanillaladder::dispatch {
+namespace {
+
+// Guards against runs of cancelled jobs that go on: a new leader orders their
+// stops before it has linked every worker.
+TEST_CASE("a stop waits for the link to its worker") {
+  daemon_fixture f;
+  gateway_calls calls;
+  silent_gateway gateway(calls);
+  batch::scheduler decisions({}, boot_now(), [](const std::string&) {});
+  worker_links links(
+      f.loop, gateway, decisions, 1, {}, [] { return true; }, {[] {}, [] {}},
+      f.report);
+  batch::worker_entry entry;
+  entry.info.id = "w";
+  entry.info.address = "10.0.0.1";
+  entry.info.port = 8000;
+  decisions.update_worker(entry, boot_now());
+  links.send(batch::stop_order{"w", {{"job", 0, 0}, 0}, 1});
+  REQUIRE(calls.stops == 0);
+  links.update(entry);
+  f.run_until([&] { return calls.stops > 0; });
+  REQUIRE(calls.stops == 1);
+}
+
+}  // namespace
+}  // namespace vanillaladder::dispatch
