Don't hold up a renewal for the lost answer to the one before

Cause: a renewal whose answer is lost is given up after 1.5 s, which is the lease's whole life; until then no further one was sent, although the holder reads its own record from the topic within milliseconds. Class: waiting for an answer whose content is already known.

Change: a record of our own that is read settles its append.

Test: 'a renewal whose answer is lost does not hold up the next'; without the change it sends no second renewal (given up after 10 s).

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 #include <vector>
 
 #include "dispatch/clock.h"
@@ -146,6 +147,7 @@
   void take(std::string_view value);
   void check();
   void append(std::function<void()> done);
+  void settle();
   void answered(model::time_point sent, const absl::Status& status);
   void update();
 
@@ -160,7 +162,10 @@
   topic_follower follower;
   model::time_point check_due = boot_now();
   bool stopped = false;
-  bool appending = false;
+  /// Sequence of the record that is being appended.
+  std::optional<std::int64_t> awaited;
+  /// Called once that is known to be stored, or has failed.
+  std::function<void()> on_settled;
   /// Epoch of the leadership that was announced; 0 is none.
   model::epoch announced = 0;
   model::time_point next_append;
@@ -175,6 +180,10 @@
   bool other = !rule.last() || rule.last()->holder != record->holder ||
                rule.last()->epoch != record->epoch || record->released;
   rule.on_record(*record, boot_now());
+  // Its answer may be late or lost; the next renewal must not wait for it.
+  if (record->holder == options.self && record->sequence == awaited) {
+    settle();
+  }
   if (other) {
     report.event("leadership", absl::StrCat("holder id=", record->holder,
                                             " epoch=", record->epoch,
@@ -207,7 +216,7 @@
   auto now = boot_now();
   loop_lag.observe(std::max(now - check_due, model::time_point::duration(0)));
   check_due = now + check_interval;
-  if (appending || now < next_append) {
+  if (awaited || now < next_append) {
     return;
   }
   // A holder whose time has lapsed renews too: the append succeeds only if
@@ -229,29 +238,45 @@
 }
 
 void leadership::impl::append(std::function<void()> done) {
-  appending = true;
   auto now = boot_now();
   auto record = rule.on_sending(now);
+  auto sequence = record.sequence;
+  awaited = sequence;
+  on_settled = std::move(done);
   std::array records = {
       batch::topic_record{std::string(lease_key), encode(record)}};
   auto at = follower.next();
   store.append(
       options.topic, records, {std::nullopt, at},
       [self = shared_from_this(), at, records, now,
-       done = std::move(done)](absl::StatusOr<model::offset> end) {
-        self->appending = false;
+       sequence](absl::StatusOr<model::offset> end) {
         self->answered(now, end.status());
         if (end.ok()) {
           self->follower.accept({at, {records.begin(), records.end()}});
-          done();
+        }
+        if (self->awaited != sequence) {
+          return;
+        }
+        if (end.ok()) {
+          self->settle();
           return;
         }
         // It may be stored all the same; the topic tells.
+        self->awaited.reset();
         self->next_append = boot_now() + retry_pause;
-        self->follower.refresh([done](bool) { done(); });
+        self->follower.refresh(
+            [done = std::exchange(self->on_settled, nullptr)](bool) {
+              done();
+            });
       });
 }
 
+/// The outcome of the append is known.
+void leadership::impl::settle() {
+  awaited.reset();
+  std::exchange(on_settled, nullptr)();
+}
+
 /// Logs how a claim or renewal ended if that was slow or not as hoped.
 void leadership::impl::answered(model::time_point sent,
                                 const absl::Status& status) {
@@ -286,7 +311,7 @@
 
 void leadership::leave(std::function<void()> done) {
   impl_->stopped = true;
-  if (impl_->appending) {
+  if (impl_->awaited) {
     impl_->loop.call_after(check_interval,
                            [this, done = std::move(done)] { leave(done); });
     return;
--- a/packages/dispatch/test/fake_store.h
+++ b/packages/dispatch/test/fake_store.h
@@ -23,6 +23,9 @@
     }
     topic.insert(topic.end(), records.begin(), records.end());
     auto end = static_cast<model::offset>(topic.size());
+    if (loses_answers) {
+      return;
+    }
     loop_->post([done, end] { done(end); });
   }
 
@@ -49,6 +52,8 @@
   }
 
   bool away = false;
+  /// Appends take effect and are not answered.
+  bool loses_answers = false;
   int appends = 0;
   std::vector<batch::topic_record> topic;
 
