Register a new leader with both topics at once and repeat sooner

Change: both registrations go out together, and the progress is read while the other is under way. A registration without an answer is repeated after 0.3 s, then 0.6 and 1.2 s, then with the store's own limit: it is safe to repeat, and a slow store gets its answer through. 'loaded topic=' says how long each part took.

--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -53,6 +53,9 @@
         sending(context.report, "send_orders") {}
 
   void open_writers();
+  bool opened(const absl::Status& status);
+  void loaded_part(std::string_view topic);
+  model::milliseconds since_start() const;
   void load_progress(const std::string& after);
   void restore();
   void take_over();
@@ -94,6 +97,8 @@
   model::time_point started = boot_now();
   /// When the present plan, or the last one, was begun.
   model::time_point planned_at;
+  int topics_to_open = 2;
+  int topics_to_load = 2;
   bool active = false;
   bool stopped = false;
   bool plan_due = false;
@@ -124,35 +129,57 @@
                            who = std::string(by_whom)] { notify(who); });
 }
 
+/// Registers with both topics at once: each may take as long as a lease while
+/// the store loses answers.
 void leader::impl::open_writers() {
-  auto opened = [self = shared_from_this()](absl::StatusOr<model::offset> end) {
-    if (self->stopped) {
-      return;
-    }
-    if (!end.ok()) {
-      self->superseded("store");
-      return;
-    }
-    self->jobs_writer.open([self](absl::StatusOr<model::offset> jobs_end) {
-      if (self->stopped) {
-        return;
-      }
-      if (!jobs_end.ok()) {
-        self->superseded("store");
-        return;
-      }
-      self->context.report.event(
-          "leader", absl::StrCat("earlier_leaders_fenced epoch=", self->epoch,
-                                 " jobs_end=", *jobs_end));
-      self->context.jobs_follower.refresh([](bool) {});
-      self->context.jobs_follower.when_reached(*jobs_end, [self] {
-        if (!self->stopped) {
+  progress_writer.open(
+      [self = shared_from_this()](const absl::StatusOr<model::offset>& end) {
+        if (self->opened(end.status())) {
           self->load_progress("");
         }
       });
-    });
-  };
-  progress_writer.open(opened);
+  jobs_writer.open(
+      [self = shared_from_this()](const absl::StatusOr<model::offset>& end) {
+        if (self->opened(end.status())) {
+          self->context.jobs_follower.refresh([](bool) {});
+          self->context.jobs_follower.when_reached(
+              *end, [self] { self->loaded_part("jobs"); });
+        }
+      });
+}
+
+/// @return whether the leader goes on.
+bool leader::impl::opened(const absl::Status& status) {
+  if (stopped) {
+    return false;
+  }
+  if (!status.ok()) {
+    superseded("store");
+    return false;
+  }
+  if (--topics_to_open == 0) {
+    context.report.event("leader",
+                         absl::StrCat("earlier_leaders_fenced epoch=", epoch,
+                                      " after_ms=", since_start().count()));
+  }
+  return true;
+}
+
+/// Takes over once both topics are known up to the registrations.
+void leader::impl::loaded_part(std::string_view topic) {
+  if (stopped) {
+    return;
+  }
+  context.report.event("leader",
+                       absl::StrCat("loaded topic=", std::string(topic),
+                                    " after_ms=", since_start().count()));
+  if (--topics_to_load == 0) {
+    take_over();
+  }
+}
+
+model::milliseconds leader::impl::since_start() const {
+  return std::chrono::duration_cast<model::milliseconds>(boot_now() - started);
 }
 
 void leader::impl::load_progress(const std::string& after) {
@@ -173,7 +200,7 @@
         if (page->more && !page->records.empty()) {
           self->load_progress(page->records.back().key);
         } else {
-          self->take_over();
+          self->loaded_part("progress");
         }
       });
 }
@@ -221,13 +248,11 @@
 
 void leader::impl::take_over() {
   restore();
-  auto took =
-      std::chrono::duration_cast<model::milliseconds>(boot_now() - started);
   context.report.event(
       "leader",
       absl::StrCat("took_over epoch=", epoch, " jobs=", scheduler.jobs(),
                    " steps=", progress.size(), " workers=", workers.size(),
-                   " took_ms=", took.count()));
+                   " took_ms=", since_start().count()));
   progress.clear();
   links = std::make_unique<worker_links>(
       context.loop, *gateway, scheduler, epoch, options.links, context.may_act,
--- a/packages/dispatch/src/record_writer.cc
+++ b/packages/dispatch/src/record_writer.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <optional>
 #include <vector>
 
 #include "runtime/error.h"
@@ -10,6 +11,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_pause{100};
+/// How long the answer to a registration is awaited at first. Nothing starts
+/// until it is known, and repeating it is safe.
+constexpr std::chrono::milliseconds first_open_limit{300};
+/// Limits above this are left to the store.
+constexpr std::chrono::milliseconds longest_open_limit{1200};
 
 }  // namespace
 
@@ -27,6 +33,7 @@
 
   void send(callback done);
   void retry(callback done);
+  void wait_longer();
 
   http::event_loop& loop;
   external::keyed_store& store;
@@ -36,6 +43,7 @@
   std::function<bool()> may_write;
   reporter report;
   std::int64_t sequence = 0;
+  std::optional<std::chrono::milliseconds> answer_limit;
   std::vector<batch::topic_record> records;
   bool in_touch = true;
   bool stopped = false;
@@ -50,6 +58,16 @@
   });
 }
 
+/// A store that is slow must get its answer through in the end.
+void record_writer::impl::wait_longer() {
+  if (answer_limit) {
+    answer_limit = 2 * *answer_limit;
+    if (*answer_limit > longest_open_limit) {
+      answer_limit.reset();
+    }
+  }
+}
+
 void record_writer::impl::send(callback done) {
   if (!may_write()) {
     retry(std::move(done));
@@ -57,7 +75,8 @@
   }
   store.append(
       topic, records,
-      external::append_terms{external::append_writer{writer, epoch, sequence}},
+      external::append_terms{external::append_writer{writer, epoch, sequence},
+                             std::nullopt, answer_limit},
       [self = shared_from_this(),
        done = std::move(done)](absl::StatusOr<model::offset> end) mutable {
         if (self->stopped) {
@@ -75,6 +94,7 @@
           }
           self->report.count("vanillaladder_store_append_retries_total",
                              "topic", self->topic);
+          self->wait_longer();
           self->retry(std::move(done));
           return;
         }
@@ -97,12 +117,14 @@
 
 void record_writer::open(callback done) {
   impl_->records.clear();
+  impl_->answer_limit = first_open_limit;
   impl_->send(std::move(done));
 }
 
 void record_writer::append(std::span<const batch::topic_record> records,
                            callback done) {
   impl_->records.assign(records.begin(), records.end());
+  impl_->answer_limit.reset();
   ++impl_->sequence;
   impl_->send(std::move(done));
 }
--- a/packages/dispatch/test/fake_store.h
+++ b/packages/dispatch/test/fake_store.h
@@ -15,7 +15,7 @@
   explicit fake_store(http::event_loop& loop) : loop_(&loop) {}
 
   void append(const std::string&, std::span<const batch::topic_record> records,
-              external::append_terms, append_callback done) override {
+              external::append_terms terms, append_callback done) override {
     ++appends;
     if (away) {
       loop_->post([done] { done(absl::UnknownError("reset")); });
@@ -24,6 +24,10 @@
     topic.insert(topic.end(), records.begin(), records.end());
     auto end = static_cast<model::offset>(topic.size());
     if (loses_answers) {
+      if (terms.answer_limit) {
+        loop_->call_after(*terms.answer_limit,
+                          [done] { done(absl::UnknownError("timed out")); });
+      }
       return;
     }
     loop_->post([done, end] { done(end); });
@@ -52,7 +56,8 @@
   }
 
   bool away = false;
-  /// Appends take effect and are not answered.
+  /// Appends take effect and are not answered, which a caller without a limit
+  /// never learns.
   bool loses_answers = false;
   int appends = 0;
   std::vector<batch::topic_record> topic;
--- a/packages/external/include/external/keyed_store.h
+++ b/packages/external/include/external/keyed_store.h
@@ -28,6 +28,8 @@
   std::optional<append_writer> writer = {};
   /// The append is refused unless the topic ends at this offset.
   std::optional<model::offset> expected_end = {};
+  /// How long the answer is awaited; the store's own limit if there is none.
+  std::optional<std::chrono::milliseconds> answer_limit = {};
 };
 
 /// Records of a topic in order.
