Let submissions that come during an append share the next

Cause: each submission was an append of its own. The store carries out the appends of a topic one after the other, 50 ms each while it is slow, so that 20 a second pass; the queue grew until answers took over 1.5 s (traced: append_ms rises from 390 to 1,378 within 2.5 s, then all time out). Ruled out: a silent connection, a held loop. Class: a call for each item to something that works them off one at a time.

Change: a daemon has one append of callers' records under way; records that come meanwhile share the next. One without an answer for 0.3 s holds up no further one, so that a lost answer costs others little.

Tests: shared_append_test (five records, two appends; a lost answer; a failed append; the limit of bytes). The class is new, so the tests name calls that the earlier code lacks and were not run against it.

--- a/packages/dispatch/include/dispatch/job_desk.h
+++ b/packages/dispatch/include/dispatch/job_desk.h
@@ -8,6 +8,7 @@
 #include "batch/job_directory.h"
 #include "dispatch/fleet_config.h"
 #include "dispatch/reporter.h"
+#include "dispatch/shared_append.h"
 #include "dispatch/topic_follower.h"
 #include "external/keyed_store.h"
 
@@ -37,9 +38,11 @@
   /// Longest that the view of jobs may lag while new work is accepted.
   static constexpr std::chrono::milliseconds stale_after{2500};
 
+  /// @param loop must outlive the desk, as must the rest.
   /// @param on_own_record applies a record that this daemon has stored.
-  job_desk(external::keyed_store& store, const batch::job_directory& jobs,
-           const config_view& config, topic_follower& follower,
+  job_desk(http::event_loop& loop, external::keyed_store& store,
+           const batch::job_directory& jobs, const config_view& config,
+           topic_follower& follower,
            std::function<void(std::string_view key, std::string_view value)>
                on_own_record,
            reporter report);
@@ -64,7 +67,7 @@
   void cancel_known(const model::job_id& id,
                     std::function<void(cancel_result)> done);
 
-  external::keyed_store* store_;
+  shared_append appends_;
   const batch::job_directory* jobs_;
   const config_view* config_;
   topic_follower* follower_;
--- a/packages/dispatch/src/job_desk.cc
+++ b/packages/dispatch/src/job_desk.cc
@@ -2,8 +2,6 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <array>
-
 #include "batch/job_records.h"
 #include "dispatch/clock.h"
 #include "runtime/error.h"
@@ -11,11 +9,12 @@
 namespace vanillaladder::dispatch {
 
 job_desk::job_desk(
-    external::keyed_store& store, const batch::job_directory& jobs,
-    const config_view& config, topic_follower& follower,
+    http::event_loop& loop, external::keyed_store& store,
+    const batch::job_directory& jobs, const config_view& config,
+    topic_follower& follower,
     std::function<void(std::string_view, std::string_view)> on_own_record,
     reporter report)
-    : store_(&store),
+    : appends_(loop, store, std::string(batch::jobs_topic)),
       jobs_(&jobs),
       config_(&config),
       follower_(&follower),
@@ -58,11 +57,9 @@
   batch::topic_record record{
       to_string(batch::job_record_key{batch::record_kind::job, spec.id}),
       encode(spec)};
-  std::array records = {record};
-  store_->append(
-      std::string(batch::jobs_topic), records, {},
-      [this, record, id = spec.id, sent = boot_now(),
-       done = std::move(done)](absl::StatusOr<model::offset> end) {
+  appends_.add(
+      record, [this, record, id = spec.id, sent = boot_now(),
+               done = std::move(done)](absl::StatusOr<model::offset> end) {
         auto took =
             std::chrono::duration_cast<model::milliseconds>(boot_now() - sent);
         auto result = submit_result::unknown;
@@ -132,22 +129,19 @@
   batch::topic_record record{
       to_string(batch::job_record_key{batch::record_kind::cancellation, id}),
       "1"};
-  std::array records = {record};
-  store_->append(
-      std::string(batch::jobs_topic), records, {},
-      [this, record, id,
-       done = std::move(done)](absl::StatusOr<model::offset> end) {
-        if (end.ok()) {
-          on_own_record_(record.key, record.value);
-          report_.routine(
-              "desk", absl::StrCat("cancel_accepted id=", id, " end=", *end));
-        } else {
-          report_.routine("desk",
-                          absl::StrCat("cancel_not_stored id=", id, " error=",
-                                       runtime::error_message(end.status())));
-        }
-        done(end.ok() ? cancel_result::cancelled : cancel_result::unavailable);
-      });
+  appends_.add(record, [this, record, id, done = std::move(done)](
+                           absl::StatusOr<model::offset> end) {
+    if (end.ok()) {
+      on_own_record_(record.key, record.value);
+      report_.routine("desk",
+                      absl::StrCat("cancel_accepted id=", id, " end=", *end));
+    } else {
+      report_.routine("desk",
+                      absl::StrCat("cancel_not_stored id=", id, " error=",
+                                   runtime::error_message(end.status())));
+    }
+    done(end.ok() ? cancel_result::cancelled : cancel_result::unavailable);
+  });
 }
 
 int job_desk::pending(const queue_route& queue) const {
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -76,7 +76,7 @@
            [this](const auto& keys) { keep_workers(keys); }},
           report),
       desk_(
-          store, jobs_, config_, jobs_follower_,
+          loop, store, jobs_, config_, jobs_follower_,
           [this](auto key, auto value) { apply_job(key, value); }, report),
       leadership_(loop, store, leadership_options_of(settings),
                   {[this](model::epoch epoch) { begin_leading(epoch); },
--- a/packages/dispatch/test/job_desk_test.cc
+++ b/packages/dispatch/test/job_desk_test.cc
@@ -10,12 +10,11 @@
 
 struct fixture : daemon_fixture {
   queue_route queue{"q", "host", "/q/", {}};
-  job_desk desk{store,
-                jobs,
-                config,
-                follower,
-                [this](auto key, auto value) { jobs.apply(key, value); },
-                report};
+  job_desk desk{
+      loop,     store,
+      jobs,     config,
+      follower, [this](auto key, auto value) { jobs.apply(key, value); },
+      report};
 
   submit_result submit(const std::string& id) {
     batch::job_spec spec;
--- /dev/null
+++ b/packages/dispatch/test/shared_append_test.cc
@@ -0,0 +1,73 @@
+#include "dispatch/shared_append.h"
+
+#include <catch2/catch.hpp>
+
+#include "daemon_fixture.h"
+
+namespace vanillaladder::dispatch {
+namespace {
+
+struct fixture : daemon_fixture {
+  shared_append appends{loop, store, "jobs"};
+  int stored = 0;
+  int failed = 0;
+
+  void add(const std::string& key, std::size_t bytes = 1) {
+    appends.add({key, std::string(bytes, 'x')},
+                [this](const absl::StatusOr<model::offset>& end) {
+                  ++(end.ok() ? stored : failed);
+                });
+  }
+};
+
+// Guards against a slow store that takes one append after the other while each
+// submission brings one.
+TEST_CASE("records that come during an append share the next") {
+  fixture f;
+  for (int n = 0; n < 5; ++n) {
+    f.add("k" + std::to_string(n));
+  }
+  f.run_until([&] { return f.stored == 5; });
+  REQUIRE(f.store.appends == 2);
+  REQUIRE(f.store.topic.size() == 5);
+  REQUIRE(f.store.topic[4].key == "k4");
+}
+
+// Callers wait for little longer than an answer's time limit.
+TEST_CASE("a lost answer holds up further records for a short time only") {
+  fixture f;
+  f.store.loses_answers = true;
+  f.add("a");
+  f.store.loses_answers = false;
+  f.add("b");
+  f.run_until([&] { return f.stored == 1; });
+  REQUIRE(f.store.topic.size() == 2);
+}
+
+TEST_CASE("a failed append fails all that shared it and no other") {
+  fixture f;
+  f.add("a");
+  f.add("b");
+  f.add("c");
+  f.store.away = true;
+  f.run_until([&] { return f.stored + f.failed == 3; });
+  REQUIRE(f.stored == 1);
+  REQUIRE(f.failed == 2);
+  f.store.away = false;
+  f.add("d");
+  f.run_until([&] { return f.stored == 2; });
+  REQUIRE(f.store.topic.back().key == "d");
+}
+
+TEST_CASE("an append of several records stays below the limit") {
+  fixture f;
+  f.add("a");
+  for (int n = 0; n < 3; ++n) {
+    f.add("b", shared_append::most_bytes / 2 + 1);
+  }
+  f.run_until([&] { return f.stored == 4; });
+  REQUIRE(f.store.appends == 4);
+}
+
+}  // namespace
+}  // namespace vanillaladder::dispatch
