--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -84,7 +84,7 @@
   /// Orders that may be sent, in their order.
   std::deque<batch::order> unsent;
   /// Parts of a plan that is not complete.
-  batch::commit planned;
+  batch::commit plan_so_far;
   record_writer progress_writer;
   record_writer jobs_writer;
   work_timer restoring;
@@ -103,7 +103,7 @@
   bool stopped = false;
   bool plan_due = false;
   /// A plan was cut and goes on soon.
-  bool planning_on = false;
+  bool plan_continues = false;
   int parts_in_flight = 0;
   model::time_point swept_at = boot_now();
 };
@@ -310,7 +310,7 @@
 }
 
 void leader::impl::plan_soon() {
-  if (plan_due || parts_in_flight > 0 || planning_on || !active) {
+  if (plan_due || parts_in_flight > 0 || plan_continues || !active) {
     return;
   }
   plan_due = true;
@@ -354,7 +354,7 @@
 }
 
 void leader::impl::plan() {
-  if (parts_in_flight > 0 || planning_on || !active || !context.may_act()) {
+  if (parts_in_flight > 0 || plan_continues || !active || !context.may_act()) {
     return;
   }
   planned_at = boot_now();
@@ -364,15 +364,15 @@
 /// Plans until the turn's budget is spent; a renewal of the lease, reports and
 /// callers come before the next part.
 void leader::impl::plan_part() {
-  planned.add(make_plan());
+  plan_so_far.add(make_plan());
   send(scheduler.take_orders());
-  planning_on =
+  plan_continues =
       scheduler.is_cut() && boot_now() - planned_at < longest_planning;
-  if (planning_on) {
+  if (plan_continues) {
     later(std::chrono::milliseconds(0), [this] { plan_part(); });
     return;
   }
-  auto commit = std::exchange(planned, {});
+  auto commit = std::exchange(plan_so_far, {});
   if (commit.empty()) {
     scheduler.committed();
     if (scheduler.is_cut()) {
