--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -42,7 +42,9 @@
   /// Completed share of the work in percent; 100 for a long-running task that
   /// is active.
   int progress = 0;
-  time_point progressed_at;
+  /// Time on the worker's clock at which the progress last rose; empty if the
+  /// clock is not known yet.
+  std::optional<milliseconds> progressed_at;
   /// Last ordered pace in percent; -1 if the actual pace is unknown.
   int ordered_percent = 100;
   /// Pace in percent before the last change, and the time of that change.
@@ -113,6 +115,7 @@
   bool end_stored = false;
 
   bool has_runs() const;
+  int incomplete_occurrences() const;
 };
 
 /// Refers to one run of a task from the list of its worker's runs.
--- a/packages/batch/include/batch/job.h
+++ b/packages/batch/include/batch/job.h
@@ -124,6 +124,12 @@
 /// @return the key, or nothing if the text is invalid.
 std::optional<task_key> parse_task_key(std::string_view text);
 
+/// Limits of a job. The state of a job is kept in memory in proportion to its
+/// tasks, and each leader loads it, so one job must not fill the memory.
+constexpr int max_tasks_per_job = 50'000;
+constexpr int max_occurrences = 100'000;
+constexpr milliseconds max_estimated_run_time = std::chrono::hours(24 * 365);
+
 /// Validates a job.
 /// @return a description of the first problem, or an empty string if the job is
 ///   valid.
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -173,7 +173,7 @@
   void apply_end(worker_state& worker, const reported_end& end, time_point now);
   void apply_running(worker_state& worker, const worker_report& report);
   void check_progress(step_state& step, int index, run_state& run, int progress,
-                      time_point now);
+                      const worker_report& report);
   void update_pace(worker_state& worker, time_point now);
   double max_latency_ratio(const worker_state& worker) const;
   void update_headroom_model(const worker_state& worker, time_point now);
--- a/packages/batch/src/job.cc
+++ b/packages/batch/src/job.cc
@@ -45,11 +45,28 @@
   if (spec.steps.empty()) {
     return "a job must have at least one step";
   }
+  if (spec.repeat_count < 0 || spec.repeat_count > max_occurrences) {
+    return absl::StrCat("a job must not repeat more than ", max_occurrences,
+                        " times");
+  }
+  if (spec.repeat_count > 0 && spec.interval.count() < 0) {
+    return "the interval of a job must not be negative";
+  }
+  std::int64_t tasks = 0;
   for (std::size_t n = 0; n < spec.steps.size(); ++n) {
     const auto& step = spec.steps[n];
     if (step.count < 1) {
       return absl::StrCat("step ", n, " must have at least one task");
     }
+    tasks += step.count;
+    if (tasks > max_tasks_per_job) {
+      return absl::StrCat("a job must not have more than ", max_tasks_per_job,
+                          " tasks");
+    }
+    if (step.estimated_run_time.count() < 0 ||
+        step.estimated_run_time > max_estimated_run_time) {
+      return absl::StrCat("step ", n, " has an invalid estimated run time");
+    }
     if (step.required_resources.cpu_millis < 0 ||
         step.required_resources.memory_mib < 0 ||
         step.required_resources.accelerators < 0) {
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -26,6 +26,12 @@
   return std::ranges::all_of(steps, &step_state::complete);
 }
 
+int job_state_entry::incomplete_occurrences() const {
+  return static_cast<int>(std::ranges::count_if(
+      occurrences,
+      [](const auto& occurrence) { return !occurrence.complete(); }));
+}
+
 bool job_state_entry::has_runs() const {
   return std::ranges::any_of(occurrences, [](const auto& occurrence) {
     return std::ranges::any_of(occurrence.steps, [](const auto& step) {
@@ -37,6 +43,14 @@
 
 }  // namespace detail
 
+namespace {
+
+/// Occurrences of one job that may be incomplete at the same time. A job whose
+/// occurrences fall due faster than they complete would fill the memory.
+constexpr int max_incomplete_occurrences = 100;
+
+}  // namespace
+
 scheduler::scheduler(const scheduler_options& options, time_point takeover,
                      decision_log log)
     : options_(options), takeover_(takeover), log_(std::move(log)) {}
@@ -131,7 +145,8 @@
   for (auto& [id, job] : jobs_) {
     const auto& spec = *job->spec;
     while (!has_ended(job->state) && !job->cancelled &&
-           job->occurrences_opened < spec.repeat_count) {
+           job->occurrences_opened < spec.repeat_count &&
+           job->incomplete_occurrences() < max_incomplete_occurrences) {
       auto due =
           spec.first_run_at + job->occurrences_opened * spec.interval.count();
       if (wall + options_.early_start.count() < due) {
@@ -307,7 +322,9 @@
   run.worker = &worker;
   run.incarnation = worker.incarnation;
   run.ordered_at = now;
-  run.progressed_at = now;
+  if (worker.lease.clock_known()) {
+    run.progressed_at = worker.lease.clock_at(now);
+  }
   run.pace_changed_at = now;
   run.headroom = headroom_model::initial_estimate(now);
   task.runs.push_back(run);
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -221,8 +221,7 @@
       continue;
     }
     run->incarnation = worker.incarnation;
-    check_progress(*step, row.task.index, *run, row.progress,
-                   report.received_at);
+    check_progress(*step, row.task.index, *run, row.progress, report);
     run->measurement = row.measurement;
     if (run->phase == run_phase::starting) {
       run->phase = run_phase::running;
@@ -244,17 +243,20 @@
 }
 
 /// Records the progress of a run and stops it if it has stalled.
+///
+/// Measures on the worker's clock: a report may have been written long before
+/// it is received, by a slow network or while this process was paused.
 void scheduler::check_progress(step_state& step, int index, run_state& run,
-                               int progress, time_point now) {
+                               int progress, const worker_report& report) {
   bool may_stall = step.spec->long_running || run.phase != run_phase::running ||
                    run.ordered_percent < 100;
-  if (may_stall || progress > run.progress) {
-    run.progressed_at = now;
+  if (may_stall || progress > run.progress || !run.progressed_at) {
+    run.progressed_at = report.clock;
   }
   run.progress = progress;
-  if (now - run.progressed_at > stall_timeout) {
-    run.worker->trust.on_refused(now);
-    order_stop(step, index, run, "stands_still", now);
+  if (report.clock - *run.progressed_at > stall_timeout) {
+    run.worker->trust.on_refused(report.received_at);
+    order_stop(step, index, run, "stands_still", report.received_at);
   }
 }
 
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -390,6 +390,21 @@
 
 // A worker on which every task fails frees its resources immediately and would
 // attract all tasks, one after another.
+// Guards against a job whose occurrences fill the memory: all are due at once.
+TEST_CASE("occurrences that are due at once are opened a part at a time") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 9000, 0});
+  auto job = std::make_shared<job_spec>(
+      *scheduler_fixture::make_job("a", {scheduler_fixture::step(1, 1000)}));
+  job->repeat_count = max_occurrences;
+  job->first_run_at = 0;
+  job->interval = 0ms;
+  f.tested_scheduler().add_job(job, f.now(), scheduler_fixture::wall_start);
+  f.plan();
+  REQUIRE(f.tested_scheduler().waiting_tasks() <= 100);
+  REQUIRE(f.running() == 4);
+}
+
 TEST_CASE("pattern: a worker on which every task fails gets few tasks") {
   scheduler_fixture f;
   for (int n = 0; n < 5; ++n) {
@@ -435,6 +450,53 @@
   REQUIRE(f.logged("why=stands_still"));
 }
 
+// Guards against a stop of sound work after a pause of the leader or a slow
+// network: the first report received afterwards was written before it.
+TEST_CASE("a report that arrives late does not count as a stalled run") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 9000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  f.advance_time(500ms);
+  f.workers.at("w1").running.at(0).progress = 10;
+  f.report("w1");
+  worker_report late;
+  late.incarnation = f.workers.at("w1").entry.incarnation;
+  late.clock = f.clock_of_worker() + 20ms;
+  late.requested_at = f.now() + 10ms;
+  late.running = {{f.workers.at("w1").running.at(0).task, 1, "", 10, 0}};
+  f.advance_time(4000ms);
+  late.received_at = f.now();
+  f.tested_scheduler().on_report("w1", late);
+  f.plan();
+  REQUIRE_FALSE(f.logged("why=stands_still"));
+  REQUIRE(f.workers.at("w1").running.size() == 1);
+}
+
+// A worker's entry lapses while the worker or the store is away for a moment;
+// the worker runs on.
+TEST_CASE("a worker that is not listed for a while keeps its runs") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 9000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  f.add_worker("w2", {4000, 9000, 0});
+  f.tested_scheduler().remove_worker("w1");
+  for (int n = 1; n <= 8; ++n) {
+    f.advance_time(500ms);
+    f.workers.at("w1").running.at(0).progress = n;
+    f.report_all();
+    f.plan();
+  }
+  REQUIRE(f.workers_running("a.0.0.0") == std::vector<std::string>{"w1"});
+  REQUIRE(f.tested_scheduler().needs_contact("w1"));
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.end("a.0.0.0", end_reason::done);
+  f.report("w1");
+  f.plan();
+  REQUIRE(f.running() == 0);
+}
+
 TEST_CASE("a slow task that makes progress is not stopped") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 9000, 0});
--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -9,20 +9,12 @@
 #include "dispatch/append_batcher.h"
 #include "dispatch/fleet_config.h"
 #include "dispatch/reporter.h"
+#include "dispatch/submission_outcomes.h"
 #include "dispatch/topic_follower.h"
 #include "external/keyed_store.h"
 
 namespace vanillaladder::dispatch {
 
-enum class submit_result {
-  /// The job is stored, by this call or an earlier one.
-  accepted,
-  /// The job is not stored, and this call will not store it later.
-  refused,
-  /// The job may or may not have been stored.
-  unknown,
-};
-
 enum class cancel_result { cancelled, no_such_job, unavailable };
 
 /// Answer to a query for the state of a job.
@@ -81,6 +73,7 @@
   topic_follower* follower_;
   std::function<void(std::string_view, std::string_view)> on_stored_record_;
   reporter report_;
+  submission_outcomes outcomes_;
 };
 
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/include/dispatch/leadership.h
+++ b/packages/dispatch/include/dispatch/leadership.h
@@ -142,6 +142,8 @@
     /// fenced yet.
     std::function<void(model::epoch)> on_won;
     std::function<void()> on_lost;
+    /// Called before a claim; returns whether this daemon is able to lead.
+    std::function<bool()> can_lead = {};
   };
 
   leadership(http::event_loop& loop, external::keyed_store& store,
--- a/packages/dispatch/include/dispatch/scheduling_daemon.h
+++ b/packages/dispatch/include/dispatch/scheduling_daemon.h
@@ -47,6 +47,7 @@
   void apply_worker(std::string_view key, std::string_view value);
   void retain_closed_domains(const std::set<std::string>& keys);
   void retain_workers(const std::set<std::string>& keys);
+  bool can_lead() const;
   void start_leader(model::epoch epoch);
   void stop_leader();
 
--- /dev/null
+++ b/packages/dispatch/include/dispatch/submission_outcomes.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
+#include <string>
+
+#include "model/types.h"
+
+namespace vanillaladder::dispatch {
+
+enum class submit_result {
+  /// The job is stored, by this call or an earlier one.
+  accepted,
+  /// The job is not stored, and no call to this daemon will store it later.
+  refused,
+  /// The job may or may not have been stored.
+  unknown,
+};
+
+/// Remembers the jobs whose submission has no known outcome yet, so that a
+/// later attempt is not refused as "never runs" while an earlier one may still
+/// be stored. Does no I/O.
+class submission_outcomes {
+ public:
+  /// Unknown outcomes that are remembered; more than callers submit to one
+  /// daemon during an outage of the store.
+  static constexpr std::size_t max_unknown = 4096;
+
+  /// Called when an append of the job is sent.
+  void begin(const model::job_id& id);
+  /// Called with the outcome of an append of the job.
+  /// @return the outcome that the caller may be told.
+  submit_result end(const model::job_id& id, submit_result outcome);
+  /// @return the answer to an attempt for which nothing is sent.
+  submit_result refusal_of(const model::job_id& id) const;
+
+ private:
+  struct entry {
+    int in_flight = 0;
+    bool unknown = false;
+  };
+
+  void forget_oldest();
+
+  absl::flat_hash_map<std::string, entry> entries_;
+  /// Jobs with an unknown outcome, oldest first.
+  std::deque<std::string> unknown_;
+};
+
+}  // namespace vanillaladder::dispatch
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -61,9 +61,11 @@
     // effect, and the caller could not tell whether the job will run.
     report_.count("vanillaladder_submissions_refused_total", "reason",
                   "store_away");
+    auto result = outcomes_.refusal_of(spec.id);
     report_.routine("desk", absl::StrCat("submit_refused id=", spec.id,
-                                         " reason=store_away"));
-    done(submit_result::refused);
+                                         " reason=store_away certain=",
+                                         result == submit_result::refused));
+    done(result);
     return;
   }
   spec.queue = queue.name;
@@ -72,6 +74,7 @@
   batch::topic_record record{
       to_string(batch::job_record_key{batch::record_kind::job, spec.id}),
       encode(spec)};
+  outcomes_.begin(spec.id);
   appends_.add(
       record, [this, record, id = spec.id, sent = boot_now(),
                done = std::move(done)](absl::StatusOr<model::offset> end) {
@@ -79,15 +82,15 @@
             std::chrono::duration_cast<model::milliseconds>(boot_now() - sent);
         auto result = submit_result::unknown;
         if (end.ok()) {
-          result = submit_result::accepted;
+          result = outcomes_.end(id, submit_result::accepted);
           on_stored_record_(record.key, record.value);
           report_.routine("desk",
                           absl::StrCat("submit_accepted id=", id, " end=", *end,
                                        " append_ms=", took.count()));
         } else {
-          if (absl::IsUnavailable(end.status())) {
-            result = submit_result::refused;
-          }
+          result = outcomes_.end(id, absl::IsUnavailable(end.status())
+                                         ? submit_result::refused
+                                         : submit_result::unknown);
           report_.routine(
               "desk",
               absl::StrCat("submit_not_stored id=", id,
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -157,6 +157,7 @@
   void finish_append();
   void log_append(model::time_point sent, const absl::Status& status);
   void announce_changes();
+  void release(std::function<void()> done);
 
   http::event_loop& loop;
   external::keyed_store& store;
@@ -242,7 +243,8 @@
     }
     next_append = now + options.renewal_interval;
     append([] {});
-  } else if (lease.may_claim(now)) {
+  } else if (lease.may_claim(now) &&
+             (!handlers.can_lead || handlers.can_lead())) {
     next_append = now + retry_pause;
     append([] {});
   }
@@ -282,6 +284,25 @@
                });
 }
 
+/// Waits for the append in flight, then stores the release.
+void leadership::impl::release(std::function<void()> done) {
+  if (pending_sequence) {
+    loop.call_after(check_interval,
+                    [self = shared_from_this(), done = std::move(done)] {
+                      self->release(done);
+                    });
+    return;
+  }
+  bool was_holder = lease.holds();
+  lease.resign();
+  announced_epoch = 0;
+  if (!was_holder) {
+    loop.call_after(std::chrono::milliseconds(0), std::move(done));
+    return;
+  }
+  append(std::move(done));
+}
+
 /// Called when the outcome of the append in flight is known.
 void leadership::impl::finish_append() {
   pending_sequence.reset();
@@ -325,19 +346,7 @@
 
 void leadership::release(std::function<void()> done) {
   impl_->stopped = true;
-  if (impl_->pending_sequence) {
-    impl_->loop.call_after(check_interval,
-                           [this, done = std::move(done)] { release(done); });
-    return;
-  }
-  bool was_holder = impl_->lease.holds();
-  impl_->lease.resign();
-  impl_->announced_epoch = 0;
-  if (!was_holder) {
-    impl_->loop.call_after(std::chrono::milliseconds(0), std::move(done));
-    return;
-  }
-  impl_->append(std::move(done));
+  impl_->release(std::move(done));
 }
 
 void leadership::on_superseded(std::string_view noticed_by) {
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -82,7 +82,7 @@
           [this](auto key, auto value) { apply_job(key, value); }, report),
       leadership_(loop, store, leadership_options_of(settings),
                   {[this](model::epoch epoch) { start_leader(epoch); },
-                   [this] { stop_leader(); }},
+                   [this] { stop_leader(); }, [this] { return can_lead(); }},
                   report) {}
 
 scheduling_daemon::~scheduling_daemon() = default;
@@ -207,6 +207,13 @@
   });
 }
 
+/// @return whether the operators' records and the list of workers are known. A
+///   leader without them would use workers and domains that are closed.
+bool scheduling_daemon::can_lead() const {
+  return operator_follower_.loaded() && worker_follower_.loaded() &&
+         jobs_follower_.loaded();
+}
+
 void scheduling_daemon::start_leader(model::epoch epoch) {
   stop_leader();
   leader_options options;
--- /dev/null
+++ b/packages/dispatch/src/submission_outcomes.cc
@@ -0,0 +1,50 @@
+#include "dispatch/submission_outcomes.h"
+
+namespace vanillaladder::dispatch {
+
+void submission_outcomes::begin(const model::job_id& id) {
+  ++entries_[id].in_flight;
+}
+
+submit_result submission_outcomes::end(const model::job_id& id,
+                                       submit_result outcome) {
+  auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return outcome;
+  }
+  auto& job = found->second;
+  --job.in_flight;
+  if (outcome == submit_result::unknown && !job.unknown) {
+    job.unknown = true;
+    unknown_.push_back(id);
+    forget_oldest();
+    return outcome;
+  }
+  bool others_unresolved = job.in_flight > 0 || job.unknown;
+  if (!others_unresolved) {
+    entries_.erase(found);
+  }
+  return outcome == submit_result::refused && others_unresolved
+             ? submit_result::unknown
+             : outcome;
+}
+
+submit_result submission_outcomes::refusal_of(const model::job_id& id) const {
+  return entries_.contains(id) ? submit_result::unknown
+                               : submit_result::refused;
+}
+
+void submission_outcomes::forget_oldest() {
+  if (unknown_.size() <= max_unknown) {
+    return;
+  }
+  if (auto oldest = entries_.find(unknown_.front()); oldest != entries_.end()) {
+    oldest->second.unknown = false;
+    if (oldest->second.in_flight == 0) {
+      entries_.erase(oldest);
+    }
+  }
+  unknown_.pop_front();
+}
+
+}  // namespace vanillaladder::dispatch
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -77,6 +77,7 @@
   void send_pace(const batch::pace_order& order);
   void defer(std::chrono::milliseconds pause, std::function<void()> step);
   void count(std::string_view order_kind, order_answer answer);
+  external::call_permit permit() const { return {token, may_order}; }
 
   http::event_loop& loop;
   external::worker_gateway& gateway;
@@ -140,7 +141,7 @@
   auto& link = found->second;
   link.report_in_flight = true;
   external::report_request request;
-  request.token = token;
+  request.permit = permit();
   // The lease of a worker that does not answer must expire.
   if (link.failures == 0) {
     request.deadline = extend_lease(id);
@@ -213,9 +214,9 @@
     });
     return;
   }
-  external::order_permit permit{token, extend_lease(order.worker)};
+  external::start_permit start{permit(), extend_lease(order.worker)};
   gateway.start(
-      found->second.entry.info, order, permit, options.answer_limit,
+      found->second.entry.info, order, start, options.answer_limit,
       [self = shared_from_this(), order, attempt,
        maybe_sent](order_answer answer) {
         if (self->stopped) {
@@ -286,7 +287,7 @@
     defer(options.retry_pause, [this, order] { send_stop(order); });
     return;
   }
-  gateway.stop(found->second.entry.info, order, token, options.answer_limit,
+  gateway.stop(found->second.entry.info, order, permit(), options.answer_limit,
                [self = shared_from_this(), order](order_answer answer) {
                  if (self->stopped) {
                    return;
@@ -310,7 +311,7 @@
     scheduler.on_pace_undelivered(order.task, order.run);
     return;
   }
-  gateway.pace(found->second.entry.info, order, token, options.answer_limit,
+  gateway.pace(found->second.entry.info, order, permit(), options.answer_limit,
                [self = shared_from_this(), order](order_answer answer) {
                  if (self->stopped) {
                    return;
--- a/packages/dispatch/test/fake_store.h
+++ b/packages/dispatch/test/fake_store.h
@@ -53,8 +53,12 @@
                       [done, batch = std::move(batch)] { done(batch); });
   }
 
-  void read_newest(const std::string&, const std::string&,
+  void read_newest(const std::string& name, const std::string&,
                    newest_callback done) override {
+    if (name == unreadable_topic) {
+      loop_->post([done] { done(absl::UnavailableError("busy")); });
+      return;
+    }
     external::newest_page page;
     page.records = topic;
     page.end = static_cast<model::offset>(topic.size());
@@ -68,6 +72,8 @@
   bool drops_answers = false;
   /// Appends and reads have no effect and are not answered.
   bool unresponsive = false;
+  /// Topic whose newest records cannot be read.
+  std::string unreadable_topic;
   int appends = 0;
   std::vector<batch::topic_record> topic;
 
--- a/packages/dispatch/test/job_service_test.cc
+++ b/packages/dispatch/test/job_service_test.cc
@@ -45,6 +45,23 @@
   REQUIRE(f.submit("b") == submit_result::accepted);
 }
 
+// A refusal tells the caller that the job never runs. After a lost answer the
+// job may be stored already.
+TEST_CASE("a submission is not refused after an answer to it was lost") {
+  fixture f;
+  f.store.drops_answers = true;
+  batch::job_spec spec;
+  spec.id = "a";
+  f.service.submit(f.queue, spec, [](submit_result) {});
+  auto before = f.store.appends;
+  REQUIRE(before == 1);
+  f.store.unreachable = true;
+  f.run_until([&] { return f.store_reachable == false; });
+  REQUIRE(f.submit("a") == submit_result::unknown);
+  REQUIRE(f.submit("b") == submit_result::refused);
+  REQUIRE(f.store.appends == before);
+}
+
 // Reads of an unresponsive store report no error until their wait is over.
 TEST_CASE("submissions are refused soon after the store stops answering") {
   fixture f;
--- a/packages/dispatch/test/leadership_test.cc
+++ b/packages/dispatch/test/leadership_test.cc
@@ -31,5 +31,49 @@
   REQUIRE(lost == 0);
 }
 
+TEST_CASE("a daemon that is not able to lead does not claim") {
+  daemon_fixture f;
+  int won = 0;
+  bool able = false;
+  leadership_options options;
+  options.holder_id = "a-1";
+  options.topic = "keyed.lease";
+  leadership lead(f.loop, f.store, options,
+                  {[&](model::epoch) { ++won; }, [] {}, [&] { return able; }},
+                  f.report);
+  lead.start();
+  bool elapsed = false;
+  f.loop.call_after(300ms, [&] { elapsed = true; });
+  f.run_until([&] { return elapsed; });
+  REQUIRE(f.store.appends == 0);
+  able = true;
+  f.run_until([&] { return won == 1; });
+}
+
+// Guards against use of the destroyed object: the release waits for the
+// renewal in flight.
+TEST_CASE("a release that waits for an append outlives its owner") {
+  daemon_fixture f;
+  int won = 0;
+  leadership_options options;
+  options.holder_id = "a-1";
+  options.topic = "keyed.lease";
+  options.renewal_interval = 101ms;
+  auto lead = std::make_unique<leadership>(
+      f.loop, f.store, options,
+      leadership::listener{[&](model::epoch) { ++won; }, [] {}}, f.report);
+  lead->start();
+  f.run_until([&] { return won == 1; });
+  f.store.unresponsive = true;
+  auto before = f.store.appends;
+  f.run_until([&] { return f.store.appends > before; });
+  lead->release([] {});
+  lead.reset();
+  bool elapsed = false;
+  f.loop.call_after(200ms, [&] { elapsed = true; });
+  f.run_until([&] { return elapsed; });
+  REQUIRE(f.store.appends == before + 1);
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/test/silent_gateway.h
+++ b/packages/dispatch/test/silent_gateway.h
@@ -7,6 +7,8 @@
 struct gateway_calls {
   int reports = 0;
   int stops = 0;
+  /// Permission of the last stop.
+  external::call_permit stop_permit;
 };
 
 /// Workers that never answer.
@@ -18,14 +20,17 @@
     ++calls->reports;
   }
   void start(const model::worker_info&, const batch::start_order&,
-             const external::order_permit&, std::chrono::milliseconds,
+             const external::start_permit&, std::chrono::milliseconds,
              order_callback) override {}
-  void stop(const model::worker_info&, const batch::stop_order&, model::epoch,
-            std::chrono::milliseconds, order_callback) override {
+  void stop(const model::worker_info&, const batch::stop_order&,
+            const external::call_permit& permit, std::chrono::milliseconds,
+            order_callback) override {
+    calls->stop_permit = permit;
     ++calls->stops;
   }
-  void pace(const model::worker_info&, const batch::pace_order&, model::epoch,
-            std::chrono::milliseconds, order_callback) override {}
+  void pace(const model::worker_info&, const batch::pace_order&,
+            const external::call_permit&, std::chrono::milliseconds,
+            order_callback) override {}
   void disconnect(const model::worker_id&) override {}
 
   gateway_calls* calls;
--- a/packages/external/include/external/worker_gateway.h
+++ b/packages/external/include/external/worker_gateway.h
@@ -12,17 +12,25 @@
 
 namespace vanillaladder::external {
 
-/// Authorization of an order sent to a worker.
-struct order_permit {
+/// Authorization of a call to a worker.
+struct call_permit {
   /// Fencing token; a worker refuses one that is lower than the highest seen.
   model::epoch token = 0;
+  /// Called right before the call is written to the network; if it returns
+  /// false, the call is not sent.
+  std::function<bool()> may_send = {};
+};
+
+/// Authorization of a start.
+struct start_permit {
+  call_permit call;
   /// Time on the worker's clock until which its runs may continue.
   std::chrono::milliseconds deadline{0};
 };
 
 /// Parameters of a request for a worker's report.
 struct report_request {
-  model::epoch token = 0;
+  call_permit permit;
   /// Extends the lease of all runs until this time on the worker's clock; 0
   /// leaves the lease unchanged.
   std::chrono::milliseconds deadline{0};
@@ -75,14 +83,14 @@
                       report_callback done) = 0;
   virtual void start(const model::worker_info& worker,
                      const batch::start_order& order,
-                     const order_permit& permit,
+                     const start_permit& permit,
                      std::chrono::milliseconds timeout,
                      order_callback done) = 0;
   virtual void stop(const model::worker_info& worker,
-                    const batch::stop_order& order, model::epoch token,
+                    const batch::stop_order& order, const call_permit& permit,
                     std::chrono::milliseconds timeout, order_callback done) = 0;
   virtual void pace(const model::worker_info& worker,
-                    const batch::pace_order& order, model::epoch token,
+                    const batch::pace_order& order, const call_permit& permit,
                     std::chrono::milliseconds timeout, order_callback done) = 0;
   /// Closes the connections to a worker.
   virtual void disconnect(const model::worker_id& worker) = 0;
--- a/packages/http/include/http/channel.h
+++ b/packages/http/include/http/channel.h
@@ -60,7 +60,11 @@
   /// @param timeout limit from this call to the end of the response.
   /// @param done called once, on the loop's thread and never from inside
   ///   `send`, unless the channel is destroyed first.
-  void send(request message, std::chrono::milliseconds timeout, callback done);
+  /// @param may_send called right before the request is written, which may be
+  ///   long after this call if the peer or this process is slow. If it returns
+  ///   false, nothing is written and the call fails as `not_sent`.
+  void send(request message, std::chrono::milliseconds timeout, callback done,
+            std::function<bool()> may_send = {});
 
   /// @return "address:port", for errors and logs.
   const std::string& peer() const;
--- a/packages/http/src/channel.cc
+++ b/packages/http/src/channel.cc
@@ -26,6 +26,7 @@
   std::uint64_t id = 0;
   request message;
   channel::callback done;
+  std::function<bool()> may_send;
   event_loop::timer_id timer = 0;
 };
 
@@ -68,6 +69,7 @@
   connection* new_connection();
   void assign(connection& conn, call next_call);
   int write(connection& conn);
+  void withdraw(connection& conn);
   int receive(connection& conn, std::string_view bytes);
   void on_closed(connection& conn, std::string_view cause);
   void detach(connection& conn);
@@ -206,6 +208,11 @@
   if (conn.unsent_bytes.empty()) {
     return 0;
   }
+  if (conn.current_call && conn.current_call->may_send &&
+      !conn.current_call->may_send()) {
+    withdraw(conn);
+    return 0;
+  }
   std::vector<unsigned char> buffer(LWS_PRE + conn.unsent_bytes.size());
   std::copy(conn.unsent_bytes.begin(), conn.unsent_bytes.end(),
             buffer.begin() + LWS_PRE);
@@ -216,6 +223,20 @@
   return written < static_cast<int>(size) ? -1 : 0;
 }
 
+/// Fails a call of which nothing has been written. The connection stays usable.
+void channel::impl::withdraw(connection& conn) {
+  conn.unsent_bytes.clear();
+  auto ended_call = std::move(*conn.current_call);
+  conn.current_call.reset();
+  auto result = make_failure(ended_call, absl::StatusCode::kCancelled,
+                             failure_phase::not_sent,
+                             "the permission to send has expired");
+  finish(std::move(ended_call), std::move(result));
+  if (!destroyed) {
+    dispatch();
+  }
+}
+
 int channel::impl::receive(connection& conn, std::string_view bytes) {
   if (!conn.current_call ||
       !conn.reader.feed(bytes, options.max_response_bytes)) {
@@ -367,11 +388,12 @@
 }
 
 void channel::send(request message, std::chrono::milliseconds timeout,
-                   callback done) {
+                   callback done, std::function<bool()> may_send) {
   call next_call;
   next_call.id = ++impl_->last_call_id;
   next_call.message = std::move(message);
   next_call.done = std::move(done);
+  next_call.may_send = std::move(may_send);
   auto& loop = impl_->shared_transport->loop();
   if (impl_->waiting_calls.size() >= impl_->options.max_waiting_calls) {
     auto result = impl_->make_failure(
--- a/packages/http/test/channel_test.cc
+++ b/packages/http/test/channel_test.cc
@@ -86,6 +86,25 @@
   REQUIRE(calls.connections_opened() == 2);
 }
 
+// Guards against a call that is written after its sender's permission has
+// expired: it may wait for a connection, or for this process to run again.
+TEST_CASE("a call without permission at the time of writing is not sent") {
+  fixture f;
+  channel calls(f.shared_transport, "127.0.0.1", f.peer->port(), {1});
+  bool allowed = true;
+  calls.send({"POST", "/order", {}, ""}, 5s, f.collect(1),
+             [&] { return allowed; });
+  allowed = false;
+  f.loop.run();
+  auto& failed = std::get<client_failure>(f.results[0]);
+  REQUIRE(failed.phase == failure_phase::not_sent);
+  REQUIRE(f.received_requests.empty());
+  calls.send({"GET", "/next"}, 5s, f.collect(2));
+  f.loop.run();
+  REQUIRE(std::holds_alternative<response>(f.results[1]));
+  REQUIRE(calls.connections_opened() == 1);
+}
+
 TEST_CASE("a call to a port without a listener fails as not sent") {
   fixture f;
   constexpr std::uint16_t unused_port = 1;
