Read the store's topics where a caller asks, count a pace only once confirmed

Change: a daemon that does not lead reads jobs every second and workers every 2 s; a caller that asks for an unfinished job gets a read first if the copy is older than 100 ms, at most 300 ms long. A new leader ends the pause of its followers at once. Daemons that let stronger ones claim first read the lease every second.

The pace counts once the worker has confirmed it.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -47,6 +47,8 @@
   std::optional<milliseconds> progressed_at;
   /// Last ordered pace in percent; -1 if the actual pace is unknown.
   int ordered_percent = 100;
+  /// Last pace in percent that the worker has confirmed.
+  int confirmed_percent = 100;
   /// Pace in percent before the last change, and the time of that change.
   int previous_percent = 100;
   time_point pace_changed_at;
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -89,6 +89,7 @@
   void on_lease_ordered(const model::worker_id& id, milliseconds deadline);
   void on_start_result(const model::worker_id& id, const task_key& task,
                        int run, start_outcome outcome, time_point now);
+  void on_pace_delivered(const task_key& task, int run, int percent);
   /// Handles a pace order that was not delivered; it is sent again after the
   /// worker's next report.
   void on_pace_undelivered(const task_key& task, int run);
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -249,7 +249,8 @@
 void scheduler::check_progress(step_state& step, int index, run_state& run,
                                int progress, const worker_report& report) {
   bool may_stall = step.spec->long_running || run.phase != run_phase::running ||
-                   run.ordered_percent < 100;
+                   run.ordered_percent < 100 ||
+                   run.confirmed_percent != run.ordered_percent;
   if (may_stall || progress > run.progress || !run.progressed_at) {
     run.progressed_at = report.clock;
   }
@@ -260,6 +261,13 @@
   }
 }
 
+void scheduler::on_pace_delivered(const task_key& task, int run_number,
+                                  int percent) {
+  if (auto* run = find_run(task, run_number)) {
+    run->confirmed_percent = percent;
+  }
+}
+
 void scheduler::on_pace_undelivered(const task_key& task, int run_number) {
   if (auto* run = find_run(task, run_number)) {
     // An invalid pace, so that the next one differs and is sent.
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -112,7 +112,11 @@
       } else if (const auto* stop = std::get_if<stop_order>(&each)) {
         execute(*stop);
       } else {
-        pace_orders.push_back(std::get<pace_order>(each));
+        const auto& pace = std::get<pace_order>(each);
+        pace_orders.push_back(pace);
+        if (!drops_pace_orders) {
+          scheduler_->on_pace_delivered(pace.task, pace.run, pace.percent);
+        }
       }
     }
   }
@@ -207,6 +211,8 @@
   std::map<std::string, std::string> records;
   std::vector<std::string> log;
   std::vector<pace_order> pace_orders;
+  /// Pace orders are not delivered, and the scheduler is not told.
+  bool drops_pace_orders = false;
   /// Start orders without a response.
   std::vector<start_order> unanswered;
 
--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -34,6 +34,11 @@
   /// this long and nothing else was answered meanwhile. Slow answers take less.
   static constexpr std::chrono::milliseconds silence_limit{500};
 
+  /// Maximum age of the state of an unfinished job that is shown without a read
+  /// of the store, and the time that such a read may take.
+  static constexpr std::chrono::milliseconds max_shown_age{100};
+  static constexpr std::chrono::milliseconds max_refresh_time{300};
+
   /// @param loop must outlive the service, as must `store`, `jobs`, `config`
   ///   and `follower`.
   /// @param on_stored_record applies a record that this daemon has appended.
@@ -64,9 +69,12 @@
   int pending(const queue_route& queue) const;
 
  private:
+  void show_known_job(const model::job_id& id,
+                      const std::function<void(job_answer)>& done) const;
   void cancel_known_job(const model::job_id& id,
                         std::function<void(cancel_result)> done);
 
+  http::event_loop* loop_;
   append_batcher appends_;
   const batch::job_directory* jobs_;
   const config_view* config_;
--- a/packages/dispatch/include/dispatch/leadership.h
+++ b/packages/dispatch/include/dispatch/leadership.h
@@ -94,6 +94,9 @@
   /// @return whether the last record of the topic is a claim or renewal by this
   ///   daemon.
   bool holds() const;
+  /// @return whether this daemon lets others claim first, because it has low
+  ///   processor capacity.
+  bool yields() const;
   /// @return whether this daemon may act as leader at `now`.
   bool valid(model::time_point now) const {
     return holds() && !resigned_ && !superseded_ && now < valid_until_;
@@ -104,8 +107,6 @@
   }
 
  private:
-  bool has_low_cpu() const;
-
   std::string holder_id_;
   std::chrono::milliseconds lifetime_;
   int cpu_millis_ = 0;
--- a/packages/dispatch/include/dispatch/topic_follower.h
+++ b/packages/dispatch/include/dispatch/topic_follower.h
@@ -44,6 +44,7 @@
   topic_follower& operator=(const topic_follower&) = delete;
 
   void start();
+  /// Changes the pause between reads. A shorter one ends the current pause.
   void set_read_pause(std::chrono::milliseconds pause);
   /// Reads once without waiting for new records.
   /// @param done receives whether the copy contains all records that the topic
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -3,6 +3,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 #include "batch/job_records.h"
 #include "dispatch/clock.h"
@@ -16,7 +18,8 @@
     topic_follower& follower,
     std::function<void(std::string_view, std::string_view)> on_stored_record,
     reporter report)
-    : appends_(loop, store, std::string(batch::jobs_topic)),
+    : loop_(&loop),
+      appends_(loop, store, std::string(batch::jobs_topic)),
       jobs_(&jobs),
       config_(&config),
       follower_(&follower),
@@ -105,7 +108,22 @@
 void job_service::show(const model::job_id& id,
                        std::function<void(job_answer)> done) {
   if (const auto* found = jobs_->find(id); found != nullptr) {
-    done({job_answer::kind::known, found->visible_state()});
+    bool is_current =
+        batch::has_ended(found->visible_state()) ||
+        boot_now() - follower_->last_read_sent_at() < max_shown_age;
+    if (is_current || !store_responsive()) {
+      show_known_job(id, done);
+      return;
+    }
+    // The copy is shown if the read takes too long.
+    auto answer = std::make_shared<std::function<void(job_answer)>>(done);
+    auto answer_once = [this, id, answer](bool) {
+      if (auto pending = std::exchange(*answer, nullptr)) {
+        show_known_job(id, pending);
+      }
+    };
+    loop_->call_after(max_refresh_time, [answer_once] { answer_once(false); });
+    follower_->refresh(answer_once);
     return;
   }
   // The job may be newer than the local copy of the topic.
@@ -121,6 +139,17 @@
   });
 }
 
+void job_service::show_known_job(
+    const model::job_id& id,
+    const std::function<void(job_answer)>& done) const {
+  const auto* found = jobs_->find(id);
+  if (found == nullptr) {
+    done({job_answer::kind::unavailable, {}});
+    return;
+  }
+  done({job_answer::kind::known, found->visible_state()});
+}
+
 void job_service::cancel(const model::job_id& id,
                          std::function<void(cancel_result)> done) {
   if (jobs_->find(id) != nullptr) {
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -23,6 +23,11 @@
 constexpr std::chrono::milliseconds late_renewal_limit{150};
 /// Pause before a failed append is retried.
 constexpr std::chrono::milliseconds retry_pause{200};
+/// Pause between reads of the lease's topic, shortly less than the interval of
+/// the renewals, and on daemons that let others claim first. Each read has a
+/// cost.
+constexpr std::chrono::milliseconds read_lead_time{100};
+constexpr std::chrono::milliseconds yielding_read_pause{1000};
 
 }  // namespace
 
@@ -101,7 +106,7 @@
     return false;
   }
   auto claim_delay =
-      has_low_cpu() ? low_cpu_claim_delay : std::chrono::milliseconds(0);
+      yields() ? low_cpu_claim_delay : std::chrono::milliseconds(0);
   bool is_free = !last_record_ || last_record_->released;
   bool expired = is_free ? now - last_record_at_ >= claim_delay
                          : now - last_record_at_ > lifetime_ + claim_delay;
@@ -113,7 +118,7 @@
                                                : holder_grace_period);
 }
 
-bool leader_lease::has_low_cpu() const {
+bool leader_lease::yields() const {
   if (cpu_millis_ == 0) {
     return false;
   }
@@ -139,7 +144,7 @@
         lease(options.holder_id, options.lifetime, options.cpu_millis),
         follower(loop, store,
                  {options.topic, std::chrono::milliseconds(1000),
-                  options.renewal_interval - std::chrono::milliseconds(100)},
+                  options.renewal_interval - read_lead_time},
                  {[this](auto, auto value) { on_record_read(value); },
                   [this](const auto&) { lease.on_loaded(boot_now()); },
                   [this](bool store_reachable) {
@@ -185,16 +190,19 @@
     report.event("leadership", "record_unreadable");
     return;
   }
+  bool is_own = record->holder == options.holder_id;
   bool changed =
       !lease.last_record() || lease.last_record()->holder != record->holder ||
       lease.last_record()->epoch != record->epoch || record->released;
   lease.on_record(*record, boot_now());
   // The answer to the append may be late or lost; the next renewal must not
   // wait for it.
-  if (record->holder == options.holder_id &&
-      record->sequence == pending_sequence) {
+  if (is_own && record->sequence == pending_sequence) {
     finish_append();
   }
+  follower.set_read_pause(lease.yields() && !is_own
+                              ? yielding_read_pause
+                              : options.renewal_interval - read_lead_time);
   if (changed) {
     report.event("leadership", absl::StrCat("holder id=", record->holder,
                                             " epoch=", record->epoch,
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -12,13 +12,14 @@
 namespace vanillaladder::dispatch {
 namespace {
 
-/// Pause between reads of the jobs topic while only callers use the copy; each
-/// read has a cost.
-constexpr std::chrono::milliseconds follower_read_pause{150};
-/// The same on the leader, whose copy determines when a job starts.
-constexpr std::chrono::milliseconds leader_read_pause{15};
-/// Workers write an entry per heartbeat, every second or less often.
-constexpr std::chrono::milliseconds worker_read_pause{250};
+// Pauses between reads of a topic with frequent records. Each read of each
+// daemon has a cost, so only the leader, whose copies determine what starts
+// where, reads often. The others read when a caller asks for a job whose copy
+// is old, and when they begin to lead.
+constexpr std::chrono::milliseconds follower_jobs_pause{1000};
+constexpr std::chrono::milliseconds leader_jobs_pause{15};
+constexpr std::chrono::milliseconds follower_workers_pause{2000};
+constexpr std::chrono::milliseconds leader_workers_pause{250};
 constexpr std::chrono::milliseconds read_wait{1000};
 
 /// Additional time for which an earlier leader may send orders after a
@@ -64,7 +65,7 @@
       report_(report),
       jobs_follower_(
           loop, store,
-          {std::string(batch::jobs_topic), read_wait, follower_read_pause},
+          {std::string(batch::jobs_topic), read_wait, follower_jobs_pause},
           {[this](auto key, auto value) { apply_job(key, value); }, {}},
           report),
       operator_follower_(
@@ -73,7 +74,8 @@
            [this](const auto& keys) { retain_closed_domains(keys); }},
           report),
       worker_follower_(
-          loop, store, {decoder.worker_topic(), read_wait, worker_read_pause},
+          loop, store,
+          {decoder.worker_topic(), read_wait, follower_workers_pause},
           {[this](auto key, auto value) { apply_worker(key, value); },
            [this](const auto& keys) { retain_workers(keys); }},
           report),
@@ -235,7 +237,8 @@
                          [this](std::string_view noticed_by) {
                            leadership_.on_superseded(noticed_by);
                          }};
-  jobs_follower_.set_read_pause(leader_read_pause);
+  jobs_follower_.set_read_pause(leader_jobs_pause);
+  worker_follower_.set_read_pause(leader_workers_pause);
   leader_ = std::make_unique<leader>(std::move(context), options,
                                      make_gateway_(), epoch);
   for (const auto& [id, entry] : workers_) {
@@ -251,7 +254,8 @@
   report_.event("daemon",
                 absl::StrCat("leading_ended epoch=", leadership_.epoch()));
   leader_.reset();
-  jobs_follower_.set_read_pause(follower_read_pause);
+  jobs_follower_.set_read_pause(follower_jobs_pause);
+  worker_follower_.set_read_pause(follower_workers_pause);
 }
 
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/src/topic_follower.cc
+++ b/packages/dispatch/src/topic_follower.cc
@@ -2,7 +2,10 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <memory>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "dispatch/clock.h"
@@ -13,6 +16,8 @@
 
 /// Pause before a failed read is retried.
 constexpr std::chrono::milliseconds retry_pause{150};
+/// A pause is not extended by less than this.
+constexpr std::chrono::milliseconds min_read_pause{5};
 
 }  // namespace
 
@@ -30,6 +35,7 @@
   void finish_load();
   void read();
   void defer(std::chrono::milliseconds pause, void (impl::*step)());
+  void pause_reads();
   void restart() { load(""); }
   void apply(const external::record_batch& batch);
   void notify_waiters();
@@ -44,6 +50,9 @@
   bool stopped = false;
   bool loaded = false;
   bool store_reachable = true;
+  /// Timer that ends the pause between two reads; empty while a read is in
+  /// flight.
+  std::optional<http::event_loop::timer_id> pause_timer;
   model::offset next = 0;
   model::offset load_end = 0;
   std::set<std::string> keys;
@@ -160,6 +169,26 @@
   });
 }
 
+/// Continues to read after the pause. Reads by `refresh` count as well.
+void topic_follower::impl::pause_reads() {
+  auto since_read = std::chrono::duration_cast<std::chrono::milliseconds>(
+      boot_now() - last_read_answered_at);
+  pause_timer = loop.call_after(
+      std::max(options.read_pause - since_read, std::chrono::milliseconds(0)),
+      [self = shared_from_this()] {
+        self->pause_timer.reset();
+        if (self->stopped) {
+          return;
+        }
+        if (boot_now() - self->last_read_answered_at <
+            self->options.read_pause - min_read_pause) {
+          self->pause_reads();
+        } else {
+          self->read();
+        }
+      });
+}
+
 void topic_follower::impl::read() {
   store.read(options.topic, next, options.read_wait,
              [self = shared_from_this(),
@@ -184,7 +213,7 @@
                bool found = !batch->records.empty();
                self->apply(*batch);
                if (found) {
-                 self->defer(self->options.read_pause, &impl::read);
+                 self->pause_reads();
                } else {
                  self->read();
                }
@@ -207,7 +236,12 @@
 }
 
 void topic_follower::set_read_pause(std::chrono::milliseconds pause) {
+  bool is_shorter = pause < impl_->options.read_pause;
   impl_->options.read_pause = pause;
+  if (is_shorter && impl_->pause_timer) {
+    impl_->loop.cancel(*std::exchange(impl_->pause_timer, std::nullopt));
+    impl_->read();
+  }
 }
 
 void topic_follower::refresh(std::function<void(bool)> done) {
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -319,7 +319,10 @@
                  self->count("paces", answer);
                  if (answer == order_answer::fenced) {
                    self->handlers.on_superseded();
-                 } else if (answer != order_answer::done) {
+                 } else if (answer == order_answer::done) {
+                   self->scheduler.on_pace_delivered(order.task, order.run,
+                                                     order.percent);
+                 } else {
                    self->scheduler.on_pace_undelivered(order.task, order.run);
                  }
                });
--- a/packages/dispatch/test/fake_store.h
+++ b/packages/dispatch/test/fake_store.h
@@ -38,6 +38,7 @@
 
   void read(const std::string&, model::offset from, std::chrono::milliseconds,
             read_callback done) override {
+    ++reads;
     if (unresponsive) {
       return;
     }
@@ -75,6 +76,7 @@
   /// Topic whose newest records cannot be read.
   std::string unreadable_topic;
   int appends = 0;
+  int reads = 0;
   std::vector<batch::topic_record> topic;
 
  private:
--- a/packages/dispatch/test/job_service_test.cc
+++ b/packages/dispatch/test/job_service_test.cc
@@ -62,6 +62,39 @@
   REQUIRE(f.store.appends == before);
 }
 
+// Other daemons' changes reach the copy with a delay; a caller that asks sees
+// them at once.
+TEST_CASE(
+    "the state of an unfinished job is read before an old copy is shown") {
+  fixture f;
+  f.follower.set_read_pause(std::chrono::seconds(60));
+  REQUIRE(f.submit("a") == submit_result::accepted);
+  bool elapsed = false;
+  f.loop.call_after(2 * job_service::max_shown_age, [&] { elapsed = true; });
+  f.run_until([&] { return elapsed; });
+  f.store.topic.push_back(
+      {to_string(batch::job_record_key{batch::record_kind::state, "a"}),
+       encode(batch::job_status{batch::job_state::completed, 1, "q"})});
+  REQUIRE(f.jobs.find("a")->visible_state() == batch::job_state::queued);
+  std::optional<job_answer> answer;
+  f.service.show("a", [&](job_answer result) { answer = result; });
+  f.run_until([&] { return answer.has_value(); });
+  REQUIRE(answer->state == batch::job_state::completed);
+}
+
+TEST_CASE("the copy is shown while the store does not answer") {
+  fixture f;
+  REQUIRE(f.submit("a") == submit_result::accepted);
+  f.store.unresponsive = true;
+  bool elapsed = false;
+  f.loop.call_after(2 * job_service::max_shown_age, [&] { elapsed = true; });
+  f.run_until([&] { return elapsed; });
+  std::optional<job_answer> answer;
+  f.service.show("a", [&](job_answer result) { answer = result; });
+  f.run_until([&] { return answer.has_value(); });
+  REQUIRE(answer->outcome == job_answer::kind::known);
+}
+
 // Reads of an unresponsive store report no error until their wait is over.
 TEST_CASE("submissions are refused soon after the store stops answering") {
   fixture f;
