Start short tasks first, judge lateness by the rest of the job, weigh moves

Jobs counted as on time by the step at hand alone, so that jobs which could not be on time any more took room from those that could.

Change: among steps of one priority those that end by themselves start first, long-running ones wait for 3.5 s at most; lateness counts the longest chain that is left; a slowed task moves only if it then ends sooner, by run_stop_ms and restore_ms of the settings; workers that left the list are forgotten after 30 s.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -77,10 +77,14 @@
   const step_spec* spec = nullptr;
   step_key key;
   image_number image = 0;
+  /// Estimated time from the start of this step to the end of its job.
+  milliseconds remaining_chain{0};
   std::vector<task_state> tasks;
   int completed_tasks = 0;
   int waiting_tasks = 0;
   bool dirty = false;
+  /// Since when some of its tasks have waited without interruption.
+  std::optional<time_point> waiting_since;
   /// When all dependencies were complete and tasks could start.
   time_point ready_since;
   /// The last placement round that examined this step.
@@ -134,6 +138,7 @@
 struct worker_state {
   worker_entry entry;
   bool listed = false;
+  time_point unlisted_at;
   bool reachable = false;
   unix_ms incarnation = 0;
   lease_bound lease;
--- a/packages/batch/include/batch/job_deadlines.h
+++ b/packages/batch/include/batch/job_deadlines.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include "batch/job.h"
 
 namespace vanillaladder::batch {
@@ -7,6 +9,10 @@
 /// @return the estimated run time of the longest chain of dependent steps.
 milliseconds critical_path_length(const job_spec& spec);
 
+/// @return for each step, the estimated run time of the longest chain of
+///   dependent steps that begins with it.
+std::vector<milliseconds> remaining_chains(const job_spec& spec);
+
 /// Until when a job is on time, and when its result has lost all value.
 struct job_deadlines {
   /// A late result keeps some value up to this multiple of the time allowed.
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -38,6 +38,8 @@
   milliseconds state_retention{300000};
   /// How long before its scheduled time an occurrence may start.
   milliseconds early_start{100};
+  /// Time that a run loses when it is stopped and resumed on another worker.
+  milliseconds move_cost{800};
 };
 
 /// Decides which tasks run where; used by the leader.
@@ -82,7 +84,7 @@
   void update_worker(const worker_entry& entry, time_point now);
   /// Marks a worker as no longer listed. Its runs may continue until their
   /// lease expires.
-  void remove_worker(const model::worker_id& id);
+  void remove_worker(const model::worker_id& id, time_point now);
   void on_report(const model::worker_id& id, const worker_report& report);
   void on_unreachable(const model::worker_id& id, time_point now);
   /// Records that a lease until `deadline` on the worker's clock was sent.
@@ -167,6 +169,7 @@
   void end_lost_runs(worker_state& worker, std::string_view why,
                      time_point now);
   void expire_leases(time_point now);
+  void forget_departed_workers(time_point now);
 
   // Workers.
   worker_state* find_worker(std::string_view id);
@@ -189,6 +192,8 @@
   bool is_starved(const step_state& step, time_point now) const;
   void update_utilisation();
   void order_pace(worker_state& worker, int limit, time_point now);
+  bool finishes_sooner_elsewhere(const step_state& step,
+                                 const run_state& run) const;
   void move_throttled(step_state& step, int index, run_state& run,
                       time_point now);
   void end_runs_of_predecessor(const worker_state& successor, time_point now);
--- a/packages/batch/src/job_deadlines.cc
+++ b/packages/batch/src/job_deadlines.cc
@@ -18,6 +18,19 @@
   return longest;
 }
 
+std::vector<milliseconds> remaining_chains(const job_spec& spec) {
+  std::vector<milliseconds> remaining(spec.steps.size(), milliseconds(0));
+  // Steps depend on earlier ones only.
+  for (auto n = spec.steps.size(); n-- > 0;) {
+    remaining[n] += spec.steps[n].estimated_run_time;
+    for (int earlier : spec.steps[n].depends_on) {
+      auto& chain = remaining[static_cast<std::size_t>(earlier)];
+      chain = std::max(chain, remaining[n]);
+    }
+  }
+  return remaining;
+}
+
 job_deadlines deadlines_of(const queue_policy& policy, milliseconds chain,
                            time_point arrival) {
   auto stretched = static_cast<std::int64_t>(
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -129,6 +129,7 @@
   auto& occurrence = job.occurrences.emplace_back();
   occurrence.number = number;
   occurrence.steps.resize(job.spec->steps.size());
+  auto remaining = remaining_chains(*job.spec);
   for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
     auto& step = occurrence.steps[n];
     step.job = &job;
@@ -137,6 +138,7 @@
     step.image = headroom_model_.number_of(step.spec->image);
     step.tasks.resize(static_cast<std::size_t>(step.spec->count));
     step.waiting_tasks = step.spec->count;
+    step.remaining_chain = remaining[n];
   }
   job.occurrences_opened = std::max(job.occurrences_opened, number + 1);
 }
@@ -501,6 +503,7 @@
   unit_limit_ = units;
   units_spent_ = 0;
   expire_leases(now);
+  forget_departed_workers(now);
   update_utilisation();
   open_due_occurrences(now, wall);
   place(now, out.orders);
--- a/packages/batch/src/scheduler_best_effort.cc
+++ b/packages/batch/src/scheduler_best_effort.cc
@@ -35,8 +35,10 @@
 constexpr double idle_utilisation = 0.6;
 /// Best-effort tasks below this pace, in percent, count as throttled.
 constexpr int throttled_percent = 70;
-/// How long a task is throttled before it is moved; a move costs 0.6 s.
+/// How long a task is throttled before it is moved.
 constexpr milliseconds move_delay{500};
+/// Speed assumed of a paused task, whose pace rises again when loads fall.
+constexpr double min_assumed_speed = 0.1;
 /// Minimum expected speed on the worker to which a task is moved.
 constexpr double min_move_speed = 0.95;
 /// Maximum progress, in percent, at which a task without checkpoints is moved.
@@ -195,6 +197,18 @@
          !step.job->has_runs();
 }
 
+/// @return whether a throttled run would end earlier if it were moved to a
+/// worker
+///   on which it runs at nearly full speed.
+bool scheduler::finishes_sooner_elsewhere(const step_state& step,
+                                          const run_state& run) const {
+  std::chrono::duration<double> work = step.spec->estimated_run_time;
+  auto left = work * (1 - std::clamp(run.progress, 0, 100) / 100.0);
+  double speed = std::max(run.ordered_percent / 100.0, min_assumed_speed);
+  auto resumed = step.spec->checkpoints ? left : work;
+  return options_.move_cost + resumed / min_move_speed < left / speed;
+}
+
 /// Stops a throttled best-effort task if it could run faster on another worker.
 void scheduler::move_throttled(step_state& step, int index, run_state& run,
                                time_point now) {
@@ -210,7 +224,8 @@
         run.ordered_percent, " pressure=", run.worker->pace.latency_ratio()));
   }
   bool can_move = step.spec->checkpoints || run.progress <= max_move_progress;
-  if (now - *run.throttled_since < move_delay || !can_move) {
+  if (now - *run.throttled_since < move_delay || !can_move ||
+      !finishes_sooner_elsewhere(step, run)) {
     return;
   }
   // Limits how often all workers are examined below.
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -26,6 +26,9 @@
 
 /// Minimum time between two log lines on why a step waits.
 constexpr milliseconds wait_log_interval{2000};
+/// How long waiting long-running tasks let tasks that end by themselves start
+/// first. Well below 6 s, after which a task that does not run counts as lost.
+constexpr milliseconds long_running_patience{3500};
 /// Cost of a start, with its record, order and log line, in units of examining
 /// one worker.
 constexpr int start_cost_units = 64;
@@ -117,11 +120,15 @@
   int priority = 0;
   /// 0: on time, 1: late, 2: too late for the result to have any value.
   int lateness = 0;
+  /// A long-running task loses little by a short wait, and keeps its room for
+  /// minutes; a task that ends by itself returns it soon.
+  bool yields_to_short = false;
   time_point deadline;
 
   bool operator<(const ranked_step& other) const {
-    return std::tie(lateness, priority, deadline) <
-           std::tie(other.lateness, other.priority, other.deadline);
+    return std::tie(lateness, priority, yields_to_short, deadline) <
+           std::tie(other.lateness, other.priority, other.yields_to_short,
+                    other.deadline);
   }
 };
 
@@ -131,17 +138,23 @@
     for (auto& occurrence : job->occurrences) {
       for (auto& step : occurrence.steps) {
         if (step.waiting_tasks == 0 || !is_ready(step)) {
+          step.waiting_since.reset();
           continue;
         }
+        if (!step.waiting_since) {
+          step.waiting_since = now;
+        }
         if (step.ready_since == time_point()) {
           step.ready_since = now;
         }
-        ranked_step each{&step, job->policy.priority, 0, job->deadlines.due_at};
+        bool yields = step.spec->long_running &&
+                      now - *step.waiting_since < long_running_patience;
+        ranked_step each{&step, job->policy.priority, 0, yields,
+                         job->deadlines.due_at};
         if (!step.spec->long_running) {
           if (now > job->deadlines.expired_at) {
             each.lateness = 2;
-          } else if (now + step.spec->estimated_run_time >
-                     job->deadlines.due_at) {
+          } else if (now + step.remaining_chain > job->deadlines.due_at) {
             each.lateness = 1;
           }
         }
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -16,6 +16,8 @@
 /// A run without progress for this time is stalled. A healthy run takes at most
 /// 5 s and so completes at least 1% of its work every 50 ms.
 constexpr milliseconds stall_timeout{2500};
+/// How long the history of a worker that left the list is kept.
+constexpr milliseconds departed_worker_retention{30000};
 /// Delay before a task whose start was refused is placed again.
 constexpr milliseconds refusal_retry_delay{200};
 
@@ -94,7 +96,7 @@
   }
 }
 
-void scheduler::remove_worker(const model::worker_id& id) {
+void scheduler::remove_worker(const model::worker_id& id, time_point now) {
   auto* worker = find_worker(id);
   if (worker == nullptr || !worker->listed) {
     return;
@@ -102,9 +104,20 @@
   log_event(
       absl::StrCat("worker_unlisted id=", id, " runs=", worker->runs.size()));
   worker->listed = false;
+  worker->unlisted_at = now;
   has_changes_ = true;
 }
 
+/// Removes workers without runs that left the list long ago. An entry may lapse
+/// for a few seconds while its worker lives on.
+void scheduler::forget_departed_workers(time_point now) {
+  std::erase_if(workers_, [now](const auto& each) {
+    const auto& worker = *each.second;
+    return !worker.listed && worker.runs.empty() &&
+           now - worker.unlisted_at > departed_worker_retention;
+  });
+}
+
 /// Stops the runs that a leaving worker would not finish, so that they are
 /// placed elsewhere.
 void scheduler::drain_worker(worker_state& worker, time_point now) {
--- a/packages/batch/test/job_deadlines_test.cc
+++ b/packages/batch/test/job_deadlines_test.cc
@@ -22,6 +22,14 @@
   REQUIRE(critical_path_length(spec) == 700ms);
 }
 
+TEST_CASE("the remaining chain of a step ends with the job") {
+  job_spec spec;
+  spec.steps = {step_with(100, {}), step_with(500, {}), step_with(200, {0, 1}),
+                step_with(50, {0})};
+  REQUIRE(remaining_chains(spec) ==
+          std::vector<milliseconds>{300ms, 700ms, 200ms, 50ms});
+}
+
 TEST_CASE("the deadline is the stretched critical path plus the target") {
   queue_policy policy;
   policy.stretch = 1.5;
--- a/packages/batch/test/scheduler_best_effort_test.cc
+++ b/packages/batch/test/scheduler_best_effort_test.cc
@@ -148,6 +148,48 @@
   REQUIRE(f.workers_running("h.0.0.0") == std::vector<std::string>{"w1"});
 }
 
+// A move costs the time of a stop and a restore, which may be longer than what
+// is left of a task.
+TEST_CASE("pattern: a slowed task that is almost done is not moved") {
+  best_effort_fixture f;
+  f.add_serving_worker("w1");
+  f.advance_half_second(60);
+  auto step = best_effort_fixture::best_effort_step("a");
+  step.estimated_run_time = 500ms;
+  f.add_job("f", {step});
+  f.plan();
+  f.advance_half_second(60);
+  f.workers.at("w1").running.back().progress = 90;
+  f.add_worker("w2", {8000, 90000, 0});
+  for (int n = 0; n < 8; ++n) {
+    f.advance_half_second(60);
+  }
+  REQUIRE(f.pace_of("f.0.0.0") < 100);
+  REQUIRE(f.workers_running("f.0.0.0") == std::vector<std::string>{"w1"});
+}
+
+// While a leader's lease is not valid, it orders nothing: a task that it wants
+// to run at full speed again stays paused. That is no fault of the worker.
+TEST_CASE("a run whose pace order is not delivered is not stalled") {
+  best_effort_fixture f;
+  f.add_serving_worker("w1");
+  f.advance_half_second(60);
+  f.add_job("f", {best_effort_fixture::best_effort_step("a")});
+  f.plan();
+  while (f.pace_of("f.0.0.0") == 100) {
+    f.advance_half_second(60);
+  }
+  f.drops_pace_orders = true;
+  while (f.pace_of("f.0.0.0") < 100) {
+    f.advance_half_second(8);
+  }
+  f.advance_time(4000ms);
+  f.report("w1");
+  f.plan();
+  REQUIRE_FALSE(f.logged("why=stands_still"));
+  REQUIRE(f.workers_running("f.0.0.0").size() == 1);
+}
+
 // Every worker runs a serving task with which an image interferes. Best-effort
 // jobs of this image must not wait for ever, and serving tasks must not stay
 // late.
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -405,6 +405,63 @@
   REQUIRE(f.running() == 4);
 }
 
+TEST_CASE("pattern: short tasks start before long-running ones") {
+  scheduler_fixture f;
+  auto serving = scheduler_fixture::step(4, 1000);
+  serving.long_running = true;
+  f.add_job("a", {serving});
+  f.advance_time(10ms);
+  f.add_job("b", {scheduler_fixture::step(2, 1000)});
+  f.add_worker("w1", {2000, 90000, 0});
+  f.plan();
+  REQUIRE(f.workers_running("b.0.0.0").size() == 1);
+  REQUIRE(f.workers_running("b.0.0.1").size() == 1);
+}
+
+// Short tasks that keep coming must not hold up long-running ones for ever.
+TEST_CASE("pattern: long-running tasks start before short ones after a while") {
+  scheduler_fixture f;
+  auto serving = scheduler_fixture::step(1, 2000);
+  serving.long_running = true;
+  f.add_job("a", {serving});
+  f.plan();
+  f.advance_time(4000ms);
+  f.add_job("b", {scheduler_fixture::step(2, 1000)});
+  f.add_worker("w1", {2000, 90000, 0});
+  f.plan();
+  REQUIRE(f.workers_running("a.0.0.0").size() == 1);
+}
+
+// A job that cannot be on time any more must not delay one that can.
+TEST_CASE("pattern: a job whose later steps will be late waits") {
+  scheduler_fixture f;
+  auto second = scheduler_fixture::step(1, 1000);
+  second.estimated_run_time = 4000ms;
+  second.depends_on = {0};
+  // Due after 2 * 5 s + 1 s.
+  f.add_job("a", {scheduler_fixture::step(1, 1000), second});
+  f.advance_time(7000ms);
+  f.jobs["b"] = scheduler_fixture::make_job(
+      "b", {scheduler_fixture::step(1, 1000), second});
+  f.tested_scheduler().add_job(f.jobs["b"], f.now(),
+                               scheduler_fixture::wall_start);
+  f.add_worker("w1", {1000, 90000, 0});
+  f.plan();
+  REQUIRE(f.workers_running("b.0.0.0").size() == 1);
+}
+
+TEST_CASE("workers that left the list long ago are forgotten") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 9000, 0});
+  f.tested_scheduler().remove_worker("w1", f.now());
+  f.advance_time(2000ms);
+  f.plan();
+  REQUIRE(f.tested_scheduler().lease_of("w1") != nullptr);
+  f.advance_time(60s);
+  f.plan();
+  REQUIRE(f.tested_scheduler().lease_of("w1") == nullptr);
+}
+
 TEST_CASE("pattern: a worker on which every task fails gets few tasks") {
   scheduler_fixture f;
   for (int n = 0; n < 5; ++n) {
@@ -481,7 +538,7 @@
   f.add_job("a", {scheduler_fixture::step(1, 1000)});
   f.plan();
   f.add_worker("w2", {4000, 9000, 0});
-  f.tested_scheduler().remove_worker("w1");
+  f.tested_scheduler().remove_worker("w1", f.now());
   for (int n = 1; n <= 8; ++n) {
     f.advance_time(500ms);
     f.workers.at("w1").running.at(0).progress = n;
--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -37,6 +37,8 @@
   /// Maximum age of the state of an unfinished job that is shown without a read
   /// of the store, and the time that such a read may take.
   static constexpr std::chrono::milliseconds max_shown_age{100};
+  /// The same for a job that runs until it is cancelled.
+  static constexpr std::chrono::milliseconds max_shown_age_long_running{2000};
   static constexpr std::chrono::milliseconds max_refresh_time{300};
 
   /// @param loop must outlive the service, as must `store`, `jobs`, `config`
@@ -69,6 +71,7 @@
   int pending(const queue_route& queue) const;
 
  private:
+  bool is_current(const batch::job_directory::entry& job) const;
   void show_known_job(const model::job_id& id,
                       const std::function<void(job_answer)>& done) const;
   void cancel_known_job(const model::job_id& id,
--- a/packages/dispatch/include/dispatch/settings.h
+++ b/packages/dispatch/include/dispatch/settings.h
@@ -33,6 +33,10 @@
   /// scheduled run may start.
   std::chrono::milliseconds longest_lease{6000};
   std::chrono::milliseconds early_start{250};
+  /// Maximum time that a worker takes to stop a run, and the time that a run
+  /// takes to resume from a checkpoint.
+  std::chrono::milliseconds run_stop_time{200};
+  std::chrono::milliseconds restore_time{600};
   /// Section `[jobs]`: how long the state of an ended job can be queried.
   std::chrono::milliseconds state_retention{120000};
   /// Section `[limits]`.
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -105,13 +105,22 @@
       });
 }
 
+/// @return whether the copy's state of the job can be shown without a read.
+bool job_service::is_current(const batch::job_directory::entry& job) const {
+  if (batch::has_ended(job.visible_state())) {
+    return true;
+  }
+  bool is_long_running =
+      job.spec != nullptr && !job.spec->steps.empty() &&
+      std::ranges::all_of(job.spec->steps, &batch::step_spec::long_running);
+  return boot_now() - follower_->last_read_sent_at() <
+         (is_long_running ? max_shown_age_long_running : max_shown_age);
+}
+
 void job_service::show(const model::job_id& id,
                        std::function<void(job_answer)> done) {
   if (const auto* found = jobs_->find(id); found != nullptr) {
-    bool is_current =
-        batch::has_ended(found->visible_state()) ||
-        boot_now() - follower_->last_read_sent_at() < max_shown_age;
-    if (is_current || !store_responsive()) {
+    if (is_current(*found) || !store_responsive()) {
       show_known_job(id, done);
       return;
     }
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -497,7 +497,7 @@
 void leader::on_worker_removed(const model::worker_id& id) {
   impl_->workers.erase(id);
   if (impl_->active) {
-    impl_->scheduler.remove_worker(id);
+    impl_->scheduler.remove_worker(id, boot_now());
   }
 }
 
