Let waiting long-running tasks yield to late short ones as well

Cause: under a lasting shortage of room a late quote-check was never tried, as some long-running task always waited; 180 of 654 ended without a result.

--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -118,7 +118,8 @@
 struct scheduler::ranked_step {
   step_state* step = nullptr;
   int priority = 0;
-  /// 0: on time, 1: late, 2: too late for the result to have any value.
+  /// 0: on time, 1: late, 2: too late for the result to have any value. A
+  /// long-running step that yields to short ones yields to late ones too.
   int lateness = 0;
   /// A long-running task loses little by a short wait, and keeps its room for
   /// minutes; a task that ends by itself returns it soon.
@@ -149,7 +150,7 @@
         }
         bool yields = step.spec->long_running &&
                       now - *step.waiting_since < long_running_patience;
-        ranked_step each{&step, job->policy.priority, 0, yields,
+        ranked_step each{&step, job->policy.priority, yields ? 1 : 0, yields,
                          job->deadlines.due_at};
         if (!step.spec->long_running) {
           if (now > job->deadlines.expired_at) {
