Judge deadlines by learned run times

Change: per queue, the estimate is weighed against the mean run time by how much estimates err and run times differ (batch/run_time_model.h); deadlines and the rest of a job use it. Learned from runs that were never slowed or resumed.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -77,7 +77,7 @@
   const step_spec* spec = nullptr;
   step_key key;
   image_number image = 0;
-  /// Estimated time from the start of this step to the end of its job.
+  /// Expected time from the start of this step to the end of its job.
   milliseconds remaining_chain{0};
   std::vector<task_state> tasks;
   int completed_tasks = 0;
@@ -107,6 +107,8 @@
   queue_policy policy;
   time_point arrived_at;
   job_deadlines deadlines;
+  /// Expected time from the start of each step to the end of the job.
+  std::vector<milliseconds> remaining_chains;
   std::deque<occurrence_state> occurrences;
   int occurrences_opened = 0;
   int occurrences_done = 0;
--- a/packages/batch/include/batch/job_deadlines.h
+++ b/packages/batch/include/batch/job_deadlines.h
@@ -1,17 +1,22 @@
 #pragma once
 
+#include <span>
 #include <vector>
 
 #include "batch/job.h"
 
 namespace vanillaladder::batch {
 
-/// @return the estimated run time of the longest chain of dependent steps.
-milliseconds critical_path_length(const job_spec& spec);
+/// @param run_times expected run time of a task of each step.
+/// @return the run time of the longest chain of dependent steps.
+milliseconds critical_path_length(const job_spec& spec,
+                                  std::span<const milliseconds> run_times);
 
-/// @return for each step, the estimated run time of the longest chain of
-///   dependent steps that begins with it.
-std::vector<milliseconds> remaining_chains(const job_spec& spec);
+/// @param run_times expected run time of a task of each step.
+/// @return for each step, the run time of the longest chain of dependent steps
+///   that begins with it.
+std::vector<milliseconds> remaining_chains(
+    const job_spec& spec, std::span<const milliseconds> run_times);
 
 /// Until when a job is on time, and when its result has lost all value.
 struct job_deadlines {
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -14,6 +14,7 @@
 #include "batch/job_records.h"
 #include "batch/orders.h"
 #include "batch/pace_plan.h"
+#include "batch/run_time_model.h"
 #include "batch/worker.h"
 
 namespace vanillaladder::batch {
@@ -162,6 +163,9 @@
   void remove_run(step_state& step, int index, int number);
   void end_run(step_state& step, int index, int number, end_reason reason,
                std::string_view checkpoint, time_point now);
+  void set_deadlines(job_entry& job, time_point arrival) const;
+  void learn_run_time(const step_state& step, const run_state& run,
+                      time_point now);
   void record_task_failure(step_state& step, int index,
                            const worker_state& worker);
   void order_stop(step_state& step, int index, run_state& run,
@@ -262,6 +266,7 @@
   std::map<std::string, std::unique_ptr<job_entry>, std::less<>> jobs_;
   std::map<std::string, std::unique_ptr<worker_state>, std::less<>> workers_;
   headroom_model headroom_model_;
+  run_time_model run_time_model_;
   /// Reserved share of the processor capacity of all reachable workers.
   double utilisation_ = 1;
   std::vector<order> orders_;
--- a/packages/batch/src/job_deadlines.cc
+++ b/packages/batch/src/job_deadlines.cc
@@ -4,25 +4,18 @@
 
 namespace vanillaladder::batch {
 
-milliseconds critical_path_length(const job_spec& spec) {
-  std::vector<milliseconds> end_of(spec.steps.size(), milliseconds(0));
-  milliseconds longest{0};
-  for (std::size_t n = 0; n < spec.steps.size(); ++n) {
-    milliseconds start{0};
-    for (int earlier : spec.steps[n].depends_on) {
-      start = std::max(start, end_of[static_cast<std::size_t>(earlier)]);
-    }
-    end_of[n] = start + spec.steps[n].estimated_run_time;
-    longest = std::max(longest, end_of[n]);
-  }
-  return longest;
+milliseconds critical_path_length(const job_spec& spec,
+                                  std::span<const milliseconds> run_times) {
+  auto chains = remaining_chains(spec, run_times);
+  return chains.empty() ? milliseconds(0) : std::ranges::max(chains);
 }
 
-std::vector<milliseconds> remaining_chains(const job_spec& spec) {
+std::vector<milliseconds> remaining_chains(
+    const job_spec& spec, std::span<const milliseconds> run_times) {
   std::vector<milliseconds> remaining(spec.steps.size(), milliseconds(0));
   // Steps depend on earlier ones only.
   for (auto n = spec.steps.size(); n-- > 0;) {
-    remaining[n] += spec.steps[n].estimated_run_time;
+    remaining[n] += run_times[n];
     for (int earlier : spec.steps[n].depends_on) {
       auto& chain = remaining[static_cast<std::size_t>(earlier)];
       chain = std::max(chain, remaining[n]);
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -116,8 +116,7 @@
   job->policy = queue == queues_.end() ? spec->policy : queue->second;
   auto age = milliseconds(std::max<unix_ms>(0, wall - spec->accepted_at));
   job->arrived_at = now - age;
-  job->deadlines =
-      deadlines_of(job->policy, critical_path_length(*spec), job->arrived_at);
+  set_deadlines(*job, job->arrived_at);
   if (spec->repeat_count == 0) {
     open_occurrence(*job, 0);
   }
@@ -125,11 +124,21 @@
   has_changes_ = true;
 }
 
+void scheduler::set_deadlines(job_entry& job, time_point arrival) const {
+  std::vector<milliseconds> run_times;
+  for (const auto& step : job.spec->steps) {
+    run_times.push_back(
+        run_time_model_.expected(job.spec->queue, step.estimated_run_time));
+  }
+  job.remaining_chains = remaining_chains(*job.spec, run_times);
+  job.deadlines = deadlines_of(
+      job.policy, critical_path_length(*job.spec, run_times), arrival);
+}
+
 void scheduler::open_occurrence(job_entry& job, int number) {
   auto& occurrence = job.occurrences.emplace_back();
   occurrence.number = number;
   occurrence.steps.resize(job.spec->steps.size());
-  auto remaining = remaining_chains(*job.spec);
   for (std::size_t n = 0; n < occurrence.steps.size(); ++n) {
     auto& step = occurrence.steps[n];
     step.job = &job;
@@ -138,7 +147,7 @@
     step.image = headroom_model_.number_of(step.spec->image);
     step.tasks.resize(static_cast<std::size_t>(step.spec->count));
     step.waiting_tasks = step.spec->count;
-    step.remaining_chain = remaining[n];
+    step.remaining_chain = job.remaining_chains[n];
   }
   job.occurrences_opened = std::max(job.occurrences_opened, number + 1);
 }
@@ -155,8 +164,7 @@
         break;
       }
       open_occurrence(*job, job->occurrences_opened);
-      job->deadlines =
-          deadlines_of(job->policy, critical_path_length(spec), now);
+      set_deadlines(*job, now);
     }
   }
 }
@@ -386,6 +394,9 @@
                    " run=", number, " worker=", worker.entry.info.id,
                    " reason=", std::string(name_of(reason)),
                    " after_ms=", elapsed.count(), " failures=", task.failures));
+  if (reason == end_reason::done) {
+    learn_run_time(step, *run, now);
+  }
   if (!checkpoint.empty()) {
     task.checkpoint = std::string(checkpoint);
   }
@@ -412,6 +423,18 @@
   }
 }
 
+/// Learns from a run that did the whole work of its task at full speed.
+void scheduler::learn_run_time(const step_state& step, const run_state& run,
+                               time_point now) {
+  bool whole_work = run.number == 1 && run.ordered_percent == 100 &&
+                    run.previous_percent == 100;
+  if (whole_work && !step.spec->long_running && !step.spec->gang) {
+    run_time_model_.observe(
+        step.job->spec->queue, step.spec->estimated_run_time,
+        std::chrono::duration_cast<milliseconds>(now - run.ordered_at));
+  }
+}
+
 void scheduler::record_task_failure(step_state& step, int index,
                                     const worker_state& worker) {
   auto& task = step.tasks[static_cast<std::size_t>(index)];
--- a/packages/batch/test/job_deadlines_test.cc
+++ b/packages/batch/test/job_deadlines_test.cc
@@ -15,18 +15,26 @@
   return step;
 }
 
+std::vector<milliseconds> run_times_of(const job_spec& spec) {
+  std::vector<milliseconds> times;
+  for (const auto& step : spec.steps) {
+    times.push_back(step.estimated_run_time);
+  }
+  return times;
+}
+
 TEST_CASE("the critical path is the longest path through the steps") {
   job_spec spec;
   spec.steps = {step_with(100, {}), step_with(500, {}), step_with(200, {0, 1}),
                 step_with(50, {0})};
-  REQUIRE(critical_path_length(spec) == 700ms);
+  REQUIRE(critical_path_length(spec, run_times_of(spec)) == 700ms);
 }
 
 TEST_CASE("the remaining chain of a step ends with the job") {
   job_spec spec;
   spec.steps = {step_with(100, {}), step_with(500, {}), step_with(200, {0, 1}),
                 step_with(50, {0})};
-  REQUIRE(remaining_chains(spec) ==
+  REQUIRE(remaining_chains(spec, run_times_of(spec)) ==
           std::vector<milliseconds>{300ms, 700ms, 200ms, 50ms});
 }
 
