--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -116,10 +116,10 @@
   /// The state must be stored with the next commit.
   bool state_dirty = false;
   bool cancelled = false;
-  /// The final state is part of the commit in flight or of an earlier one. The
+  /// Number of the plan whose commit contains the final state; 0 before it. The
   /// job's progress may be removed only after `end_stored` is set, or a new
   /// leader would run the job again.
-  bool end_commit_pending = false;
+  std::int64_t end_plan = 0;
   bool end_stored = false;
 
   bool has_runs() const;
--- a/packages/batch/include/batch/orders.h
+++ b/packages/batch/include/batch/orders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <iterator>
 #include <memory>
 #include <string>
@@ -57,6 +58,8 @@
 
 /// Records that must be stored before the orders may be sent.
 struct commit {
+  /// Number of the plan that made it; rises with each plan.
+  std::int64_t plan = 0;
   std::vector<topic_record> progress;
   std::vector<topic_record> jobs;
   std::vector<order> orders;
@@ -67,6 +70,7 @@
 };
 
 inline void commit::append(commit&& later) {
+  plan = later.plan;
   auto move_all = [](auto& to, auto& from) {
     to.insert(to.end(), std::make_move_iterator(from.begin()),
               std::make_move_iterator(from.end()));
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -102,7 +102,9 @@
   /// Default work budget of a plan.
   static constexpr int default_plan_units = 16000;
   /// Decides which tasks start. The caller must store the result and then call
-  /// `on_committed`. Several results may be stored together, in their order.
+  /// `on_progress_committed` and `on_jobs_committed`. Several results may be
+  /// stored together, in their order. The progress part must be stored before
+  /// the next plan is made; the jobs part may be stored later.
   /// @param units work budget: the number of workers that may be examined; a
   ///   start counts as several. If it runs out, `is_budget_exhausted` returns
   ///   true and the next plan continues with the remaining steps.
@@ -115,14 +117,19 @@
   /// Must be called once the progress part of the commit is stored; its orders
   /// may then be sent.
   void on_progress_committed();
-  /// Must be called once the whole commit is stored.
-  void on_committed();
+  /// Must be called once the jobs part of a commit and those of all earlier
+  /// ones are stored.
+  /// @param plan number of that commit's plan.
+  void on_jobs_committed(std::int64_t plan);
   /// Removes and returns the pending orders that need no stored record.
   std::vector<order> take_orders();
 
   /// @return the number of the worker's last ended run that is stored; the
   ///   worker may forget this one and all earlier ones.
   std::int64_t last_stored_end(const model::worker_id& id) const;
+  /// @return whether the worker has reported ends that are not stored; it lists
+  ///   them in each report until then.
+  bool has_unstored_ends(const model::worker_id& id) const;
   /// @return whether the worker is listed or may still have runs.
   bool needs_contact(const model::worker_id& id) const;
   /// @return whether anything changed since the last plan that requires a new
@@ -277,6 +284,8 @@
   int unit_limit_ = 0;
   mutable int units_spent_ = 0;
   bool budget_exhausted_ = false;
+  /// Number of the last plan.
+  std::int64_t plan_number_ = 0;
   /// Number of the current placement round. A round continues in the next plan
   /// if the budget runs out.
   std::int64_t round_ = 0;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -522,6 +522,7 @@
 
 commit scheduler::plan(time_point now, unix_ms wall, int units) {
   commit out;
+  out.plan = ++plan_number_;
   has_changes_ = false;
   unit_limit_ = units;
   units_spent_ = 0;
@@ -543,7 +544,9 @@
     }
     if (job->state_dirty) {
       job->state_dirty = false;
-      job->end_commit_pending = has_ended(job->state);
+      if (has_ended(job->state)) {
+        job->end_plan = out.plan;
+      }
       out.jobs.push_back(
           {to_string(job_record_key{record_kind::state, id}),
            encode(job_status{job->state, wall, job->spec->queue})});
@@ -567,10 +570,9 @@
   }
 }
 
-void scheduler::on_committed() {
-  on_progress_committed();
+void scheduler::on_jobs_committed(std::int64_t plan) {
   for (auto& [id, job] : jobs_) {
-    if (job->end_commit_pending && !job->end_stored) {
+    if (job->end_plan != 0 && job->end_plan <= plan && !job->end_stored) {
       job->end_stored = true;
       has_changes_ = true;
     }
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -363,6 +363,11 @@
   return worker == nullptr ? 0 : worker->ends_stored;
 }
 
+bool scheduler::has_unstored_ends(const model::worker_id& id) const {
+  const auto* worker = find_worker(id);
+  return worker != nullptr && worker->ends_stored < worker->ends_applied;
+}
+
 bool scheduler::needs_contact(const model::worker_id& id) const {
   const auto* worker = find_worker(id);
   return worker != nullptr && (worker->listed || !worker->runs.empty());
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -99,7 +99,8 @@
   commit plan(int units = scheduler::default_plan_units) {
     auto result = scheduler_->plan(now_, wall_start, units);
     store(result);
-    scheduler_->on_committed();
+    scheduler_->on_progress_committed();
+    scheduler_->on_jobs_committed(result.plan);
     execute(result.orders);
     execute(scheduler_->take_orders());
     return result;
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -93,7 +93,12 @@
   // A leader that reads only this part knows that the task is done.
   auto tasks = decode_tasks(ending.progress[0].value);
   REQUIRE(tasks->at(0).done);
-  f.tested_scheduler().on_committed();
+  // The records of an earlier plan do not include the end.
+  f.tested_scheduler().on_jobs_committed(ending.plan - 1);
+  REQUIRE(f.tested_scheduler()
+              .plan(f.now(), scheduler_fixture::wall_start)
+              .empty());
+  f.tested_scheduler().on_jobs_committed(ending.plan);
   auto after =
       f.tested_scheduler().plan(f.now(), scheduler_fixture::wall_start);
   REQUIRE(after.progress.size() == 1);
@@ -574,7 +579,7 @@
   f.add_job("a", {scheduler_fixture::step(1, 1000)});
   auto result =
       f.tested_scheduler().plan(f.now(), scheduler_fixture::wall_start);
-  f.tested_scheduler().on_committed();
+  f.tested_scheduler().on_progress_committed();
   REQUIRE(result.orders.size() == 1);
   f.tested_scheduler().on_start_result("w1", {{"a", 0, 0}, 0}, 1,
                                        start_outcome::no_room, f.now());
--- a/packages/dispatch/include/dispatch/worker_links.h
+++ b/packages/dispatch/include/dispatch/worker_links.h
@@ -23,6 +23,12 @@
   std::chrono::milliseconds report_wait{1000};
   /// The same for a worker shared by serving and best-effort tasks.
   std::chrono::milliseconds sensitive_report_wait{500};
+  /// Pause between a report and the next request, so that runs that end at
+  /// about the same time share one report.
+  std::chrono::milliseconds report_pause{20};
+  /// Maximum pause while reported ends are not stored. Until they are, a worker
+  /// answers each request at once.
+  std::chrono::milliseconds unstored_ends_pause{300};
   /// Timeout of an order, and of a report beyond its wait. A healthy worker
   /// answers within a few milliseconds.
   std::chrono::milliseconds answer_limit{400};
@@ -56,6 +62,9 @@
 
   /// Adds a worker or updates its entry, and requests its reports.
   void update(const batch::worker_entry& entry);
+  /// Requests the reports that were delayed until reported ends are stored.
+  /// Must be called whenever ends have been stored.
+  void on_ends_stored();
   /// Sends an order. A stop is retried until it is answered.
   void send(const batch::order& order);
 
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -70,7 +70,10 @@
   void plan();
   void plan_slice();
   void store(batch::commit commit);
-  void on_append_done();
+  void store_job_records();
+  bool check_stored(const absl::Status& status);
+  void on_progress_stored();
+  void plan_changes();
   void tick();
   void sweep();
   void on_superseded(std::string_view noticed_by);
@@ -105,7 +108,12 @@
   bool plan_requested = false;
   /// Whether the current plan continues in the next event-loop turn.
   bool plan_incomplete = false;
-  int appends_in_flight = 0;
+  bool progress_in_flight = false;
+  bool jobs_in_flight = false;
+  /// Records of jobs that wait for the append in flight, and the number of the
+  /// last plan among theirs.
+  std::vector<batch::topic_record> unsent_job_records;
+  std::int64_t last_unsent_plan = 0;
   model::time_point last_sweep_at = boot_now();
 };
 
@@ -313,7 +321,7 @@
 }
 
 void leader::impl::request_plan() {
-  if (plan_requested || appends_in_flight > 0 || plan_incomplete || !active) {
+  if (plan_requested || progress_in_flight || plan_incomplete || !active) {
     return;
   }
   plan_requested = true;
@@ -358,8 +366,7 @@
 }
 
 void leader::impl::plan() {
-  if (appends_in_flight > 0 || plan_incomplete || !active ||
-      !context.may_act()) {
+  if (progress_in_flight || plan_incomplete || !active || !context.may_act()) {
     return;
   }
   plan_started_at = boot_now();
@@ -379,7 +386,7 @@
   }
   auto commit = std::exchange(partial_plan, {});
   if (commit.empty()) {
-    scheduler.on_committed();
+    on_progress_stored();
     if (scheduler.is_budget_exhausted()) {
       request_plan();
     }
@@ -389,53 +396,77 @@
 }
 
 void leader::impl::store(batch::commit commit) {
-  // Counts this function as well, so that the count does not reach 0 before
-  // both appends are started.
-  appends_in_flight = 1;
-  auto check_stored = [self = shared_from_this()](const absl::Status& status) {
-    if (self->stopped) {
-      return false;
-    }
-    if (!status.ok()) {
-      self->context.report.event("leader",
-                                 absl::StrCat("append_refused error=",
-                                              runtime::error_message(status)));
-      self->on_superseded("store");
-      return false;
-    }
-    return true;
-  };
-  if (!commit.progress.empty()) {
-    ++appends_in_flight;
-    progress_writer.append(commit.progress,
-                           [self = shared_from_this(), check_stored,
-                            orders = std::move(commit.orders)](
-                               absl::StatusOr<model::offset> end) mutable {
-                             if (check_stored(end.status())) {
-                               self->scheduler.on_progress_committed();
-                               self->queue_orders(std::move(orders));
-                               self->on_append_done();
-                             }
-                           });
-  }
   if (!commit.jobs.empty()) {
-    ++appends_in_flight;
-    jobs_writer.append(commit.jobs, [self = shared_from_this(), check_stored](
-                                        absl::StatusOr<model::offset> end) {
-      if (check_stored(end.status())) {
-        self->on_append_done();
-      }
-    });
+    unsent_job_records.insert(unsent_job_records.end(),
+                              std::make_move_iterator(commit.jobs.begin()),
+                              std::make_move_iterator(commit.jobs.end()));
+    last_unsent_plan = commit.plan;
+    store_job_records();
   }
-  on_append_done();
+  if (commit.progress.empty()) {
+    on_progress_stored();
+    queue_orders(std::move(commit.orders));
+    plan_changes();
+    return;
+  }
+  progress_in_flight = true;
+  progress_writer.append(
+      commit.progress,
+      [self = shared_from_this(), orders = std::move(commit.orders)](
+          absl::StatusOr<model::offset> end) mutable {
+        self->progress_in_flight = false;
+        if (self->check_stored(end.status())) {
+          self->on_progress_stored();
+          self->queue_orders(std::move(orders));
+          self->plan_changes();
+        }
+      });
 }
 
-void leader::impl::on_append_done() {
-  if (--appends_in_flight == 0) {
-    scheduler.on_committed();
-    if (scheduler.has_changes()) {
-      request_plan();
-    }
+/// Stores the records of jobs that are not stored yet. Plans don't wait for
+/// them: callers append to the same topic, and while the store is slow their
+/// appends take seconds.
+void leader::impl::store_job_records() {
+  if (jobs_in_flight || unsent_job_records.empty()) {
+    return;
+  }
+  jobs_in_flight = true;
+  auto records = std::exchange(unsent_job_records, {});
+  jobs_writer.append(
+      records, [self = shared_from_this(),
+                plan = last_unsent_plan](absl::StatusOr<model::offset> end) {
+        self->jobs_in_flight = false;
+        if (self->check_stored(end.status())) {
+          self->scheduler.on_jobs_committed(plan);
+          self->store_job_records();
+          self->plan_changes();
+        }
+      });
+}
+
+/// @return whether this leader continues after an append.
+bool leader::impl::check_stored(const absl::Status& status) {
+  if (stopped) {
+    return false;
+  }
+  if (!status.ok()) {
+    context.report.event(
+        "leader",
+        absl::StrCat("append_refused error=", runtime::error_message(status)));
+    on_superseded("store");
+    return false;
+  }
+  return true;
+}
+
+void leader::impl::on_progress_stored() {
+  scheduler.on_progress_committed();
+  links->on_ends_stored();
+}
+
+void leader::impl::plan_changes() {
+  if (scheduler.has_changes()) {
+    request_plan();
   }
 }
 
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -3,6 +3,10 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 
+#include <optional>
+#include <utility>
+#include <vector>
+
 #include "batch/lease_bound.h"
 #include "dispatch/clock.h"
 #include "dispatch/work_timer.h"
@@ -41,9 +45,15 @@
   return "unknown";
 }
 
+/// Reports requested in one event-loop turn after ends have been stored.
+constexpr std::size_t max_requests_per_turn = 32;
+
 struct link {
   batch::worker_entry entry;
   bool report_in_flight = false;
+  std::optional<http::event_loop::timer_id> next_report;
+  /// Whether the worker is one of `delayed_reports`.
+  bool is_delayed = false;
   int failures = 0;
 };
 
@@ -67,6 +77,7 @@
   void request_report(const model::worker_id& id);
   void request_report_after(const model::worker_id& id,
                             std::chrono::milliseconds pause);
+  void request_delayed_reports();
   void handle_report(const model::worker_id& id,
                      absl::StatusOr<batch::worker_report> answer);
   std::chrono::milliseconds extend_lease(const model::worker_id& id);
@@ -89,6 +100,9 @@
   reporter report;
   work_timer report_timer;
   absl::flat_hash_map<std::string, link> links;
+  /// Workers whose next report is delayed until their ends are stored.
+  std::vector<model::worker_id> delayed_reports;
+  bool is_requesting_delayed = false;
   bool stopped = false;
 };
 
@@ -121,7 +135,43 @@
 
 void worker_links::impl::request_report_after(const model::worker_id& id,
                                               std::chrono::milliseconds pause) {
-  defer(pause, [this, id] { request_report(id); });
+  auto found = links.find(id);
+  if (found == links.end()) {
+    return;
+  }
+  auto& next = found->second.next_report;
+  if (next) {
+    loop.cancel(*next);
+  }
+  next = loop.call_after(pause, [self = shared_from_this(), id] {
+    if (!self->stopped) {
+      self->request_report(id);
+    }
+  });
+}
+
+/// Requests the delayed reports of workers whose ends are stored, some in each
+/// event-loop turn.
+void worker_links::impl::request_delayed_reports() {
+  std::vector<model::worker_id> ready;
+  std::erase_if(delayed_reports, [&](const auto& id) {
+    if (ready.size() == max_requests_per_turn ||
+        scheduler.has_unstored_ends(id)) {
+      return false;
+    }
+    ready.push_back(id);
+    return true;
+  });
+  for (const auto& id : ready) {
+    if (auto found = links.find(id); found != links.end()) {
+      found->second.is_delayed = false;
+      request_report(id);
+    }
+  }
+  is_requesting_delayed = ready.size() == max_requests_per_turn;
+  if (is_requesting_delayed) {
+    defer(std::chrono::milliseconds(0), [this] { request_delayed_reports(); });
+  }
 }
 
 void worker_links::impl::request_report(const model::worker_id& id) {
@@ -129,6 +179,9 @@
   if (found == links.end() || found->second.report_in_flight) {
     return;
   }
+  if (auto timer = std::exchange(found->second.next_report, std::nullopt)) {
+    loop.cancel(*timer);
+  }
   if (!scheduler.needs_contact(id)) {
     links.erase(found);
     gateway.disconnect(id);
@@ -193,8 +246,14 @@
   link.failures = 0;
   scheduler.on_report(id, *answer);
   handlers.on_change();
-  // Delayed so that runs that end at about the same time share one report.
-  request_report_after(id, std::chrono::milliseconds(20));
+  if (scheduler.has_unstored_ends(id)) {
+    if (!std::exchange(link.is_delayed, true)) {
+      delayed_reports.push_back(id);
+    }
+    request_report_after(id, options.unstored_ends_pause);
+  } else {
+    request_report_after(id, options.report_pause);
+  }
 }
 
 void worker_links::impl::send_start(const batch::start_order& order,
@@ -356,6 +415,12 @@
   }
 }
 
+void worker_links::on_ends_stored() {
+  if (!impl_->is_requesting_delayed) {
+    impl_->request_delayed_reports();
+  }
+}
+
 void worker_links::send(const batch::order& order) {
   struct sender {
     impl& links;
--- a/packages/dispatch/test/fake_store.h
+++ b/packages/dispatch/test/fake_store.h
@@ -14,10 +14,11 @@
  public:
   explicit fake_store(http::event_loop& loop) : loop_(&loop) {}
 
-  void append(const std::string&, std::span<const batch::topic_record> records,
+  void append(const std::string& name,
+              std::span<const batch::topic_record> records,
               external::append_options options, append_callback done) override {
     ++appends;
-    if (unresponsive) {
+    if (unresponsive || (name == stalled_topic && !records.empty())) {
       return;
     }
     if (unreachable) {
@@ -73,6 +74,8 @@
   bool drops_answers = false;
   /// Appends and reads have no effect and are not answered.
   bool unresponsive = false;
+  /// Topic whose appends of records have no effect and are not answered.
+  std::string stalled_topic;
   /// Topic whose newest records cannot be read.
   std::string unreadable_topic;
   int appends = 0;
--- a/packages/dispatch/test/leader_lease_test.cc
+++ b/packages/dispatch/test/leader_lease_test.cc
@@ -172,7 +172,7 @@
 
   explicit election(unsigned seed) : random(seed) {
     for (const char* name : {"a", "b", "c"}) {
-      daemons.push_back({leader_lease(name, lifetime)});
+      daemons.emplace_back(leader_lease(name, lifetime));
     }
   }
 
--- a/packages/dispatch/test/leader_test.cc
+++ b/packages/dispatch/test/leader_test.cc
@@ -46,5 +46,43 @@
   REQUIRE(max_per_turn <= workers / 4);
 }
 
+// pattern: while the store is slow, callers' appends fill the queue of the jobs
+// topic, and the leader's records of job states wait behind them for seconds.
+TEST_CASE("tasks start while the records of job states are not stored yet") {
+  daemon_fixture f;
+  gateway_calls calls;
+  calls.answers_reports = true;
+  leader_context context{f.loop,
+                         f.store,
+                         f.jobs,
+                         f.config,
+                         f.follower,
+                         f.report,
+                         [] { return true; },
+                         [](std::string_view) {}};
+  leader lead(std::move(context), {}, std::make_unique<silent_gateway>(calls),
+              1);
+  batch::worker_entry entry;
+  entry.info.id = "w";
+  entry.info.address = "10.0.0.1";
+  entry.info.port = 8000;
+  entry.info.capacity = {32000, 64000, 0};
+  entry.service = "svc";
+  lead.on_worker(entry);
+  lead.start();
+  f.run_until([&] { return calls.reports > 0; });
+  f.store.stalled_topic = std::string(batch::jobs_topic);
+  for (int n = 1; n <= 3; ++n) {
+    batch::job_spec spec;
+    spec.id = "job" + std::to_string(n);
+    spec.queue = "queue";
+    spec.policy.service = "svc";
+    spec.steps.push_back({.count = 1, .required_resources = {1000, 100, 0}});
+    f.jobs.apply("j/" + spec.id, encode(spec));
+    lead.on_job(spec.id, batch::job_directory::change::job_added);
+    f.run_until([&] { return calls.starts == n; });
+  }
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/test/scheduling_daemon_test.cc
+++ b/packages/dispatch/test/scheduling_daemon_test.cc
@@ -30,7 +30,7 @@
   gateway_calls calls;
   empty_decoder decoder;
   daemon_settings settings;
-  settings.instance = "a";
+  settings.instance = std::string("a");
   scheduling_daemon daemon(
       f.loop, settings, f.store, decoder,
       [&] { return std::make_unique<silent_gateway>(calls); }, f.report);
--- a/packages/dispatch/test/silent_gateway.h
+++ b/packages/dispatch/test/silent_gateway.h
@@ -6,22 +6,33 @@
 
 struct gateway_calls {
   int reports = 0;
+  int starts = 0;
   int stops = 0;
+  /// Whether each report is answered by an idle worker.
+  bool answers_reports = false;
   /// Permission of the last stop.
   external::call_permit stop_permit;
 };
 
-/// Workers that never answer.
+/// Workers that never answer, but for reports if the test asks for that.
 struct silent_gateway : external::worker_gateway {
   explicit silent_gateway(gateway_calls& calls_in) : calls(&calls_in) {}
 
   void report(const model::worker_info&, const external::report_request&,
-              std::chrono::milliseconds, report_callback) override {
+              std::chrono::milliseconds, report_callback done) override {
     ++calls->reports;
+    if (calls->answers_reports) {
+      batch::worker_report idle;
+      idle.incarnation = 1;
+      idle.clock = std::chrono::milliseconds(1);
+      done(idle);
+    }
   }
   void start(const model::worker_info&, const batch::start_order&,
              const external::start_permit&, std::chrono::milliseconds,
-             order_callback) override {}
+             order_callback) override {
+    ++calls->starts;
+  }
   void stop(const model::worker_info&, const batch::stop_order&,
             const external::call_permit& permit, std::chrono::milliseconds,
             order_callback) override {
--- a/packages/dispatch/test/worker_links_test.cc
+++ b/packages/dispatch/test/worker_links_test.cc
@@ -56,5 +56,78 @@
   REQUIRE_FALSE(calls.stop_permit.may_send());
 }
 
+/// A worker that answers each report with the same ended run.
+struct ending_gateway : silent_gateway {
+  using silent_gateway::silent_gateway;
+
+  void report(const model::worker_info&, const external::report_request&,
+              std::chrono::milliseconds, report_callback done) override {
+    ++calls->reports;
+    batch::worker_report answer;
+    answer.incarnation = 1;
+    answer.clock = std::chrono::milliseconds(1);
+    answer.ended.push_back(
+        {1, {{"job", 0, 0}, 0}, 1, batch::end_reason::done, ""});
+    done(answer);
+  }
+};
+
+// pattern: while ends wait to be stored, each worker answers at once, and the
+// leader's processor is spent on reports that tell nothing new.
+TEST_CASE("no report is requested while reported ends are not stored") {
+  using std::chrono_literals::operator""ms;
+  daemon_fixture f;
+  gateway_calls calls;
+  ending_gateway gateway(calls);
+  batch::scheduler scheduler({}, boot_now(), [](const std::string&) {});
+  link_options options;
+  options.report_pause = 1ms;
+  options.unstored_ends_pause = std::chrono::minutes(1);
+  worker_links links(
+      f.loop, gateway, scheduler, 7, options, [] { return true; },
+      {[] {}, [] {}}, f.report);
+  batch::worker_entry entry;
+  entry.info.id = "w";
+  entry.info.address = "10.0.0.1";
+  entry.info.port = 8000;
+  scheduler.update_worker(entry, boot_now());
+  links.update(entry);
+  auto wait = [&] {
+    bool elapsed = false;
+    f.loop.call_after(50ms, [&] { elapsed = true; });
+    f.run_until([&] { return elapsed; });
+  };
+  wait();
+  REQUIRE(calls.reports == 1);
+  links.on_ends_stored();
+  REQUIRE(calls.reports == 1);
+  scheduler.plan(boot_now(), 0);
+  scheduler.on_progress_committed();
+  links.on_ends_stored();
+  REQUIRE(calls.reports == 2);
+  wait();
+  REQUIRE(calls.reports > 2);
+}
+
+TEST_CASE("a report is requested in the end if storing takes long") {
+  using std::chrono_literals::operator""ms;
+  daemon_fixture f;
+  gateway_calls calls;
+  ending_gateway gateway(calls);
+  batch::scheduler scheduler({}, boot_now(), [](const std::string&) {});
+  link_options options;
+  options.unstored_ends_pause = 5ms;
+  worker_links links(
+      f.loop, gateway, scheduler, 7, options, [] { return true; },
+      {[] {}, [] {}}, f.report);
+  batch::worker_entry entry;
+  entry.info.id = "w";
+  entry.info.address = "10.0.0.1";
+  entry.info.port = 8000;
+  scheduler.update_worker(entry, boot_now());
+  links.update(entry);
+  f.run_until([&] { return calls.reports == 3; });
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
