--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -79,6 +79,8 @@
   image_number image = 0;
   /// Expected time from the start of this step to the end of its job.
   milliseconds remaining_chain{0};
+  /// Expected processor time of one task, in core milliseconds.
+  double task_work = 0;
   std::vector<task_state> tasks;
   int completed_tasks = 0;
   int waiting_tasks = 0;
@@ -100,6 +102,9 @@
   std::vector<step_state> steps;
 
   bool complete() const;
+  /// @return the expected processor time of all tasks that are not done, in
+  ///   core milliseconds.
+  double remaining_work() const;
 };
 
 struct job_state_entry {
@@ -109,6 +114,8 @@
   job_deadlines deadlines;
   /// Expected time from the start of each step to the end of the job.
   std::vector<milliseconds> remaining_chains;
+  /// Expected processor time of a task of each step, in core milliseconds.
+  std::vector<double> task_works;
   std::deque<occurrence_state> occurrences;
   int occurrences_opened = 0;
   int occurrences_done = 0;
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -11,6 +11,7 @@
 #include "batch/decision_log.h"
 #include "batch/headroom_model.h"
 #include "batch/job.h"
+#include "batch/job_order.h"
 #include "batch/job_records.h"
 #include "batch/orders.h"
 #include "batch/pace_plan.h"
@@ -171,6 +172,7 @@
   void end_run(step_state& step, int index, int number, end_reason reason,
                std::string_view checkpoint, time_point now);
   void set_deadlines(job_entry& job, time_point arrival) const;
+  void observe_size(const job_entry& job);
   void learn_run_time(const step_state& step, const run_state& run,
                       time_point now);
   void record_task_failure(step_state& step, int index,
@@ -274,6 +276,7 @@
   std::map<std::string, std::unique_ptr<worker_state>, std::less<>> workers_;
   headroom_model headroom_model_;
   run_time_model run_time_model_;
+  job_order job_order_;
   /// Reserved share of the processor capacity of all reachable workers.
   double utilisation_ = 1;
   std::vector<order> orders_;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -26,6 +26,14 @@
   return std::ranges::all_of(steps, &step_state::complete);
 }
 
+double occurrence_state::remaining_work() const {
+  double work = 0;
+  for (const auto& step : steps) {
+    work += step.task_work * (step.spec->count - step.completed_tasks);
+  }
+  return work;
+}
+
 int job_state_entry::incomplete_occurrences() const {
   return static_cast<int>(std::ranges::count_if(
       occurrences,
@@ -117,6 +125,7 @@
   auto age = milliseconds(std::max<unix_ms>(0, wall - spec->accepted_at));
   job->arrived_at = now - age;
   set_deadlines(*job, job->arrived_at);
+  observe_size(*job);
   if (spec->repeat_count == 0) {
     open_occurrence(*job, 0);
   }
@@ -126,15 +135,30 @@
 
 void scheduler::set_deadlines(job_entry& job, time_point arrival) const {
   std::vector<milliseconds> run_times;
+  job.task_works.clear();
   for (const auto& step : job.spec->steps) {
-    run_times.push_back(
-        run_time_model_.expected(job.spec->queue, step.estimated_run_time));
+    auto run_time =
+        run_time_model_.expected(job.spec->queue, step.estimated_run_time);
+    run_times.push_back(run_time);
+    job.task_works.push_back(
+        static_cast<double>(run_time.count()) *
+        static_cast<double>(step.required_resources.cpu_millis) / 1000);
   }
   job.remaining_chains = remaining_chains(*job.spec, run_times);
   job.deadlines = deadlines_of(
       job.policy, critical_path_length(*job.spec, run_times), arrival);
 }
 
+void scheduler::observe_size(const job_entry& job) {
+  double work = 0;
+  for (std::size_t n = 0; n < job.task_works.size(); ++n) {
+    work += job.task_works[n] * job.spec->steps[n].count;
+  }
+  job_order_.observe(job.spec->queue, work,
+                     std::chrono::duration_cast<milliseconds>(
+                         job.deadlines.due_at - job.arrived_at));
+}
+
 void scheduler::open_occurrence(job_entry& job, int number) {
   auto& occurrence = job.occurrences.emplace_back();
   occurrence.number = number;
@@ -148,6 +172,7 @@
     step.tasks.resize(static_cast<std::size_t>(step.spec->count));
     step.waiting_tasks = step.spec->count;
     step.remaining_chain = job.remaining_chains[n];
+    step.task_work = job.task_works[n];
   }
   job.occurrences_opened = std::max(job.occurrences_opened, number + 1);
 }
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -124,12 +124,12 @@
   /// A long-running task loses little by a short wait, and keeps its room for
   /// minutes; a task that ends by itself returns it soon.
   bool yields_to_short = false;
-  time_point deadline;
+  time_point position;
 
   bool operator<(const ranked_step& other) const {
-    return std::tie(lateness, priority, yields_to_short, deadline) <
+    return std::tie(lateness, priority, yields_to_short, position) <
            std::tie(other.lateness, other.priority, other.yields_to_short,
-                    other.deadline);
+                    other.position);
   }
 };
 
@@ -137,6 +137,7 @@
   std::vector<ranked_step> ranked;
   for (auto& [id, job] : jobs_) {
     for (auto& occurrence : job->occurrences) {
+      double remaining_work = occurrence.remaining_work();
       for (auto& step : occurrence.steps) {
         if (step.waiting_tasks == 0 || !is_ready(step)) {
           step.waiting_since.reset();
@@ -153,6 +154,8 @@
         ranked_step each{&step, job->policy.priority, yields ? 1 : 0, yields,
                          job->deadlines.due_at};
         if (!step.spec->long_running) {
+          each.position = job_order_.position(
+              job->spec->queue, job->deadlines.due_at, remaining_work);
           if (now > job->deadlines.expired_at) {
             each.lateness = 2;
           } else if (now + step.remaining_chain > job->deadlines.due_at) {
