--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -179,8 +179,8 @@
                            const worker_state& worker);
   void order_stop(step_state& step, int index, run_state& run,
                   std::string_view why, time_point now);
-  void end_lost_runs(worker_state& worker, std::string_view why,
-                     time_point now);
+  void end_lost_runs(const worker_state& worker, std::span<const run_ref> lost,
+                     std::string_view why, time_point now);
   void expire_leases(time_point now);
   void forget_departed_workers(time_point now);
 
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -91,7 +91,8 @@
         other.port == info.port &&
         worker->entry.incarnation < successor.entry.incarnation &&
         !worker->runs.empty()) {
-      end_lost_runs(*worker, "address_reused", now);
+      auto lost = worker->runs;
+      end_lost_runs(*worker, lost, "address_reused", now);
     }
   }
 }
@@ -338,21 +339,30 @@
   run->answered_at = now;
 }
 
-void scheduler::end_lost_runs(worker_state& worker, std::string_view why,
-                              time_point now) {
-  log_event(absl::StrCat("worker_lost id=", worker.entry.info.id, " runs=",
-                         worker.runs.size(), " why=", std::string(why)));
-  auto refs = worker.runs;
-  for (const auto& ref : refs) {
+void scheduler::end_lost_runs(const worker_state& worker,
+                              std::span<const detail::run_ref> lost,
+                              std::string_view why, time_point now) {
+  log_event(absl::StrCat("worker_lost id=", worker.entry.info.id,
+                         " runs=", lost.size(), " why=", std::string(why)));
+  for (const auto& ref : lost) {
     end_run(*ref.step, ref.index, ref.number, end_reason::lease_expired, "",
             now);
   }
 }
 
+/// Ends the runs whose lease is over. A start that has not been answered yet
+/// brings a lease of its own when it is sent, so that its run may still begin.
 void scheduler::expire_leases(time_point now) {
   for (auto& [id, worker] : workers_) {
-    if (!worker->runs.empty() && now > worker->lease.expires_at()) {
-      end_lost_runs(*worker, "lease_over", now);
+    if (now <= worker->lease.expires_at()) {
+      continue;
+    }
+    auto expired = worker->runs;
+    std::erase_if(expired, [](const auto& ref) {
+      return ref.run().phase == run_phase::starting;
+    });
+    if (!expired.empty()) {
+      end_lost_runs(*worker, expired, "lease_over", now);
       worker->reachable = false;
     }
   }
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -210,6 +210,39 @@
   REQUIRE(f.workers.at("w2").running[0].number == 2);
 }
 
+// After an outage that outlasts the leases, a worker's first report carries no
+// new lease, and a start waits for its record to be stored. The order extends
+// the lease when it is sent; taking its run as lost would start the task twice.
+TEST_CASE("a start that is not answered yet outlasts the worker's old lease") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.advance_time(20000ms);
+  worker_report report;
+  report.incarnation = f.workers.at("w1").entry.incarnation;
+  report.clock = f.clock_of_worker();
+  report.requested_at = f.now();
+  report.received_at = f.now();
+  f.tested_scheduler().on_report("w1", report);
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  auto first =
+      f.tested_scheduler().plan(f.now(), scheduler_fixture::wall_start);
+  REQUIRE(first.orders.size() == 1);
+  f.add_worker("w2", {4000, 4000, 0});
+  f.advance_time(300ms);
+  auto second =
+      f.tested_scheduler().plan(f.now(), scheduler_fixture::wall_start);
+  REQUIRE(second.orders.empty());
+  // Once the start has been answered, the lease that came with it counts.
+  f.tested_scheduler().on_lease_ordered("w1", f.clock_of_worker() + 5000ms);
+  f.execute(first.orders);
+  f.workers.at("w1").unresponsive = true;
+  f.advance_time(4900ms);
+  REQUIRE(f.plan().orders.empty());
+  f.advance_time(500ms);
+  f.plan();
+  REQUIRE(f.workers_running("a.0.0.0").size() == 2);
+}
+
 TEST_CASE("a new worker at the same address ends the runs of the old one") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 4000, 0});
