--- a/packages/dispatch/test/leader_lease_test.cc
+++ b/packages/dispatch/test/leader_lease_test.cc
@@ -160,6 +160,8 @@
 /// answers and read late.
 struct election {
   struct daemon {
+    explicit daemon(const std::string& name) : lease(name, lifetime) {}
+
     leader_lease lease;
     std::size_t read = 0;
     bool loaded = false;
@@ -172,7 +174,7 @@
 
   explicit election(unsigned seed) : random(seed) {
     for (const char* name : {"a", "b", "c"}) {
-      daemons.emplace_back(leader_lease(name, lifetime));
+      daemons.emplace_back(name);
     }
   }
 
