--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -57,6 +57,14 @@
 /// occurrences fall due faster than they complete would fill the memory.
 constexpr int max_incomplete_occurrences = 100;
 
+/// @return whether the task has failed so often that its job fails.
+bool has_failed_too_often(const detail::step_state& step,
+                          const detail::task_state& task) {
+  int limit = step.job->policy.max_attempts;
+  return !step.spec->long_running && !task.done && limit > 0 &&
+         task.failures >= limit;
+}
+
 }  // namespace
 
 scheduler::scheduler(const scheduler_options& options, time_point takeover,
@@ -305,7 +313,17 @@
       added.ordered_percent = -1;
     }
   }
+  // The previous leader may have stored the last failure of a task, but not yet
+  // that its job has failed.
+  if (std::ranges::any_of(step->tasks, [&](const auto& task) {
+        return has_failed_too_often(*step, task);
+      })) {
+    set_state(*job, job_state::failed);
+  }
   complete_job_if_done(*job);
+  if (has_ended(job->state)) {
+    stop_all_runs(*job, now);
+  }
   return true;
 }
 
@@ -466,8 +484,7 @@
   ++task.failures;
   task.last_failed_worker = worker.entry.info.id;
   auto& job = *step.job;
-  if (!step.spec->long_running && !task.done && job.policy.max_attempts > 0 &&
-      task.failures >= job.policy.max_attempts) {
+  if (has_failed_too_often(step, task)) {
     log_event(absl::StrCat("job_hopeless id=", step.key.job,
                            " task=", to_string(task_key{step.key, index}),
                            " failures=", task.failures,
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -307,6 +307,29 @@
   REQUIRE(f.workers.at("w3").running.at(0).number == 2);
 }
 
+// The progress of a job and its state are stored separately. A leader that dies
+// in between leaves the last failure of a task, but not the end of its job.
+TEST_CASE("a new leader does not start a task that has failed too often") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.add_worker("w2", {4000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(2, 1000)}, 2);
+  f.take_over();
+  f.report_all();
+  f.tested_scheduler().add_job(f.jobs.at("a"), f.now(),
+                               scheduler_fixture::wall_start);
+  task_record failed;
+  failed.index = 0;
+  failed.last_run = 2;
+  failed.failures = 2;
+  REQUIRE(
+      f.tested_scheduler().restore_progress({"a", 0, 0}, {failed}, f.now()));
+  auto result = f.plan();
+  REQUIRE(result.orders.empty());
+  REQUIRE(result.jobs.size() == 1);
+  REQUIRE(decode_status(result.jobs[0].value)->state == job_state::failed);
+}
+
 TEST_CASE("a new leader stops the runs of a job that has ended") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 4000, 0});
