--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -227,8 +227,70 @@
   pause_for(ms(1000));
 }
 
+/// The only runner with accelerators fails what it starts for a while.
+void failed_once(world& scene) {
+  scene.add_runners(11, "parnu-a");
+  scene.add_runners(1, "parnu-a", "a", 4);
+  auto chosen = world::runner(12);
+  scene.start_daemons();
+  json lasting = {{"count", 1}, {"cpu", 6400},         {"memMb", 13000},
+                  {"gpu", 1},   {"estRuntimeMs", 500}, {"perpetual", true}};
+  json finite = {{"count", 1}, {"cpu", 2800}, {"memMb", 5600},
+                 {"gpu", 1},   {"estRuntimeMs", 800}};
+  auto sync = scene.new_id();
+  auto quote = scene.new_id();
+  if (scene.trouble) {
+    scene.runners.set_failing(chosen, true);
+  }
+  scene.submit("/sync/", sync, {{"taskSpec", "lasts"}, {"steps", {lasting}}});
+  scene.submit("/quote/", quote, {{"taskSpec", "800+0"}, {"steps", {finite}}});
+  pause_for(ms(1000));
+  if (scene.trouble) {
+    scene.runners.set_failing(chosen, false);
+  }
+  // Other work goes on, also on this runner.
+  std::vector<std::string> others;
+  for (int n = 0; n < 20; ++n) {
+    others.push_back(scene.new_id());
+    scene.submit("/quote/", others.back(),
+                 {{"taskSpec", "800+0"},
+                  {"steps", {n % 4 == 0 ? finite : world::step(4)}}});
+    pause_for(ms(500));
+  }
+  scene.record.line("end of the traffic");
+  pause_for(ms(14000));
+  int completed = 0;
+  for (const auto& id : others) {
+    completed += scene.state("/quote/", id) == "completed" ? 1 : 0;
+  }
+  scene.record.line(std::to_string(completed) + " of " +
+                    std::to_string(others.size()) +
+                    " other submissions are completed");
+  bool sync_idle = true;
+  bool quote_idle = true;
+  for (int n = 0; n < 32; ++n) {
+    sync_idle = sync_idle && scene.runners.running(sync) == 0;
+    quote_idle = quote_idle && scene.runners.running(quote) == 0;
+    pause_for(ms(100));
+  }
+  auto sync_state = scene.state("/sync/", sync);
+  auto quote_state = scene.state("/quote/", quote);
+  if (sync_idle && sync_state == "running") {
+    scene.record.broken("LOST " + sync + " lasts and has nothing at work, " +
+                        std::to_string(scene.runners.starts(sync)) +
+                        " starts in all");
+  }
+  if (quote_idle && quote_state == "running") {
+    scene.record.broken("LOST " + quote + " has nothing at work, " +
+                        std::to_string(scene.runners.starts(quote)) +
+                        " starts in all");
+  }
+  scene.call(scene.next_daemon(), "DELETE", "/sync/" + sync, "");
+}
+
 const std::map<std::string, std::function<void(world&)>> cases = {
     {"ends-in-outage", ends_in_outage},
+    {"failed-once", failed_once},
     {"gang-behind-cut", gang_behind_cut},
     {"cancelled-but-run", cancelled_but_run},
     {"returned-elsewhere", returned_elsewhere},
--- a/review/standins/runners.hpp
+++ b/review/standins/runners.hpp
@@ -51,6 +51,7 @@
   std::string rack;
   int cpu = 32000;
   int memory = 128000;
+  int gpu = 0;
 };
 
 /// All runners, on one lock. A task runs as long as its `taskSpec` says:
@@ -66,6 +67,7 @@
     steady::time_point started_at;
     std::optional<steady::time_point> works_since;
     std::optional<steady::time_point> stops_at;
+    std::optional<steady::time_point> fails_at;
   };
   struct end {
     std::int64_t number = 0;
@@ -78,6 +80,8 @@
     std::unique_ptr<http_server> server;
     bool up = true;
     bool cut = false;
+    /// Fails all that it starts.
+    bool failing = false;
     steady::time_point born;
     std::int64_t born_unix_ms = 0;
     int life = 0;
@@ -164,6 +168,14 @@
     record_.line("runner " + id + (cut ? " is cut off" : " is reached again"));
     target.cut = cut;
   }
+  /// From now on the runner fails all that it starts, or no longer does.
+  void set_failing(const std::string& id, bool failing) {
+    auto& target = find(id);
+    std::lock_guard lock(mutex_);
+    record_.line("runner " + id +
+                 (failing ? " fails all that it starts" : " is sound again"));
+    target.failing = failing;
+  }
   /// The runner's process crashes and starts again while it is cut off.
   void crash_behind_cut(const std::string& id) {
     auto& target = find(id);
@@ -378,6 +390,11 @@
           break_gang(ended);
           return;
         }
+      } else if (known->fails_at && now >= *known->fails_at) {
+        auto ended = *known;
+        finish(target, known, "failed");
+        break_gang(ended);
+        return;
       } else if (known->works_since && known->spec != "lasts" &&
                  now - *known->works_since >= duration(*known)) {
         finish(target, known, "done");
@@ -401,7 +418,7 @@
                       {"capacity",
                        {{"cpu", target.spec.cpu},
                         {"memMb", target.spec.memory},
-                        {"gpu", 0}}},
+                        {"gpu", target.spec.gpu}}},
                       {"labels", {target.spec.kind, target.spec.rack}},
                       {"clockMs", target.clock()},
                       {"seqNo", ++target.sequence},
@@ -547,7 +564,10 @@
       }
     }
     run added{task, number, body.value("taskSpec", std::string()),
-              steady::now(), {}, {}};
+              steady::now(), {}, {}, {}};
+    if (target.failing) {
+      added.fails_at = added.started_at + ms(100);
+    }
     if (members(added.spec) == 0) {
       added.works_since = added.started_at;
     }
--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -218,19 +218,20 @@
   }
 
   void add_runners(int count, const std::string& zone,
-                   const std::string& kind = "a") {
+                   const std::string& kind = "a", int gpu = 0) {
     for (int n = 0; n < count; ++n) {
       int number = ++last_runner_;
       runner_spec spec;
-      spec.id = "i-0000000" + std::to_string(number);
+      spec.id = runner(number);
       spec.zone = zone;
       spec.kind = kind;
+      spec.gpu = gpu;
       spec.rack = "r1-" + std::to_string(number);
       runners.add(spec, net_ + std::to_string(100 + number));
     }
   }
   static std::string runner(int number) {
-    return "i-0000000" + std::to_string(number);
+    return "i-" + std::to_string(10000000 + number);
   }
 
   /// Starts the daemons and waits until a task has run.
