--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -3,7 +3,7 @@
 namespace review {
 namespace {
 
-/// Many short tasks of one runner end while the store is down.
+/// Many small tasks of each runner end while the store is down.
 void ends_in_outage(world& scene) {
   scene.add_runners(2, "parnu-a");
   scene.start_daemons();
@@ -169,6 +169,9 @@
     });
     pause_for(ms(100));
   }
+  scene.record.line(
+      "the last hold that reached " + chosen + " came " +
+      std::to_string(scene.runners.since_hold(chosen).count()) + " ms ago");
   for (const auto& id : idle) {
     int starts = scene.runners.starts(id);
     auto state = scene.state("/quote/", id);
