--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -149,7 +149,10 @@
   bool listed = false;
   time_point unlisted_at;
   bool reachable = false;
+  /// Start time of the process that reported last; 0 before the first report.
   unix_ms incarnation = 0;
+  /// When the list of workers last named a later process than `incarnation`.
+  time_point restart_listed_at;
   lease_bound lease;
   model::resources reserved;
   /// Processor time that the best-effort tasks need for full speed, in
--- a/packages/batch/include/batch/lease_bound.h
+++ b/packages/batch/include/batch/lease_bound.h
@@ -26,9 +26,26 @@
                      milliseconds longest);
   /// Records a lease until `deadline` on the worker's clock. Must also be
   /// called for a lease order that got no response.
-  void extend(milliseconds deadline);
+  /// @param may_arrive_until when the order is answered or given up at the
+  ///   latest; it may reach a process that has started on the worker until
+  ///   then.
+  void extend(milliseconds deadline, time_point may_arrive_until);
+  /// Marks the clock as unknown until the next response, as the worker is said
+  /// to have restarted. Leases granted before still count.
+  void forget_clock() { clock_known_ = false; }
+  /// Records the first response of a restarted worker, which holds no lease of
+  /// before. An order sent before it was known may have reached it with a
+  /// deadline by the clock of its predecessor, which is usually so far ahead
+  /// that the worker grants the longest lease.
+  /// @param given the longest lease that leaders order.
+  /// @param longest the longest lease that a worker grants.
+  void restart(milliseconds clock, time_point received, milliseconds given,
+               milliseconds longest);
 
   bool clock_known() const { return clock_known_; }
+  /// @return the time by which the worker's lease is one that leaders order,
+  ///   not a longer one granted at its restart.
+  time_point settled_at() const { return settled_at_; }
   /// @return the worker's clock at `now`, assuming that it runs at the same
   ///   rate as the local clock.
   milliseconds clock_at(time_point now) const;
@@ -36,13 +53,18 @@
   time_point expires_at() const { return expires_at_; }
 
  private:
+  static milliseconds longest_duration(milliseconds on_worker_clock);
   void update();
 
   bool clock_known_ = false;
+  /// Whether a response has told the clock and thus what `deadline_` means.
+  bool deadline_known_ = false;
   milliseconds clock_{0};
   time_point clock_read_at_;
   milliseconds deadline_{0};
   time_point expires_at_;
+  time_point may_arrive_until_;
+  time_point settled_at_;
 };
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -31,7 +31,9 @@
 }  // namespace detail
 
 struct scheduler_options {
-  /// Longest lease that a worker grants.
+  /// Longest lease that leaders order.
+  milliseconds given_lease{6000};
+  /// Longest lease that a worker grants, however late the ordered deadline.
   milliseconds longest_lease{6000};
   /// Time from the takeover until all leases granted by previous leaders have
   /// expired on workers that have not reported yet.
@@ -90,7 +92,10 @@
   void on_report(const model::worker_id& id, const worker_report& report);
   void on_unreachable(const model::worker_id& id, time_point now);
   /// Records that a lease until `deadline` on the worker's clock was sent.
-  void on_lease_ordered(const model::worker_id& id, milliseconds deadline);
+  /// @param may_arrive_until when the call is answered or given up at the
+  ///   latest.
+  void on_lease_ordered(const model::worker_id& id, milliseconds deadline,
+                        time_point may_arrive_until);
   void on_start_result(const model::worker_id& id, const task_key& task,
                        int run, start_outcome outcome, time_point now);
   void on_pace_delivered(const task_key& task, int run, int percent);
@@ -126,7 +131,8 @@
   std::vector<order> take_orders();
 
   /// @return the number of the worker's last ended run that is stored; the
-  ///   worker may forget this one and all earlier ones.
+  ///   worker may forget this one and all earlier ones. 0 if the worker may
+  ///   have restarted.
   std::int64_t last_stored_end(const model::worker_id& id) const;
   /// @return whether the worker has reported ends that are not stored; it lists
   ///   them in each report until then.
@@ -209,6 +215,7 @@
                                  const run_state& run) const;
   void move_throttled(step_state& step, int index, run_state& run,
                       time_point now);
+  void observe_clock(worker_state& worker, const worker_report& report);
   void end_runs_of_predecessor(const worker_state& successor, time_point now);
   void drain_worker(worker_state& worker, time_point now);
 
@@ -248,6 +255,7 @@
     serving_late,
     no_spare_processor,
     no_room,
+    lease_not_settled,
     not_trusted,
     limit_per_worker,
   };
--- a/packages/batch/src/lease_bound.cc
+++ b/packages/batch/src/lease_bound.cc
@@ -4,36 +4,59 @@
 
 namespace vanillaladder::batch {
 
+/// @return the time that may pass locally while the worker's clock advances.
+milliseconds lease_bound::longest_duration(milliseconds on_worker_clock) {
+  return milliseconds(static_cast<std::int64_t>(
+             static_cast<double>(on_worker_clock.count()) / min_clock_rate)) +
+         rounding_margin;
+}
+
 void lease_bound::observe_clock(milliseconds clock, time_point received,
                                 milliseconds longest) {
-  if (!clock_known_) {
+  if (!deadline_known_) {
     // Earlier holders were fenced off before this response was sent.
     deadline_ = clock + longest;
   }
+  deadline_known_ = true;
   clock_known_ = true;
   clock_ = clock;
   clock_read_at_ = received;
   update();
 }
 
-void lease_bound::extend(milliseconds deadline) {
+void lease_bound::extend(milliseconds deadline, time_point may_arrive_until) {
   deadline_ = std::max(deadline_, deadline);
+  may_arrive_until_ = std::max(may_arrive_until_, may_arrive_until);
   update();
 }
 
+void lease_bound::restart(milliseconds clock, time_point received,
+                          milliseconds given, milliseconds longest) {
+  auto last_arrival = may_arrive_until_;
+  *this = lease_bound();
+  bool may_be_longer = last_arrival > received - longest_duration(clock);
+  if (!may_be_longer) {
+    observe_clock(clock, received, given);
+    return;
+  }
+  may_arrive_until_ = last_arrival;
+  auto until_arrival = std::chrono::ceil<milliseconds>(last_arrival - received);
+  observe_clock(clock, received,
+                longest + std::max(until_arrival, milliseconds(0)));
+  settled_at_ = expires_at_ - longest_duration(given);
+}
+
 milliseconds lease_bound::clock_at(time_point now) const {
   return clock_ +
          std::chrono::duration_cast<milliseconds>(now - clock_read_at_);
 }
 
 void lease_bound::update() {
-  if (!clock_known_) {
+  if (!deadline_known_) {
     return;
   }
   auto remaining = std::max(deadline_ - clock_, milliseconds(0));
-  auto longest = static_cast<std::int64_t>(
-      static_cast<double>(remaining.count()) / min_clock_rate);
-  expires_at_ = clock_read_at_ + milliseconds(longest) + rounding_margin;
+  expires_at_ = clock_read_at_ + longest_duration(remaining);
 }
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -107,6 +107,8 @@
       return "no_spare_processor";
     case obstacle::no_room:
       return "no_room";
+    case obstacle::lease_not_settled:
+      return "lease_not_settled";
     case obstacle::not_trusted:
       return "not_trusted";
     case obstacle::limit_per_worker:
@@ -210,6 +212,10 @@
   if (!model::fits_in(need, worker.free_resources())) {
     return obstacle::no_room;
   }
+  // A next leader counts only on the lease that leaders order.
+  if (now < worker.lease.settled_at()) {
+    return obstacle::lease_not_settled;
+  }
   if (!worker.trust.may_start(now, count_finite_runs(worker)) ||
       (task.failures > 0 && info.id == task.last_failed_worker)) {
     return obstacle::not_trusted;
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -71,6 +71,15 @@
   }
   worker->entry = entry;
   worker->listed = true;
+  if (worker->incarnation != 0 && entry.incarnation > worker->incarnation &&
+      worker->lease.clock_known()) {
+    log_event(absl::StrCat("worker_listed_restarted id=", entry.info.id,
+                           " life=", entry.incarnation,
+                           " before=", worker->incarnation));
+    worker->lease.forget_clock();
+    worker->reachable = false;
+    worker->restart_listed_at = now;
+  }
   if (!was_listed) {
     end_runs_of_predecessor(*worker, now);
   }
@@ -149,9 +158,10 @@
 }
 
 void scheduler::on_lease_ordered(const model::worker_id& id,
-                                 milliseconds deadline) {
+                                 milliseconds deadline,
+                                 time_point may_arrive_until) {
   if (auto* worker = find_worker(id)) {
-    worker->lease.extend(deadline);
+    worker->lease.extend(deadline, may_arrive_until);
   }
 }
 
@@ -172,21 +182,24 @@
           "worker_restarted id=", id, " life=", report.incarnation,
           " before=", worker->incarnation, " runs=", worker->runs.size()));
     }
-    worker->incarnation = report.incarnation;
     worker->ends_applied = 0;
     worker->ends_committing = 0;
     worker->ends_stored = 0;
-    worker->lease = lease_bound();
   }
-  if (!worker->reachable) {
+  // An answer of the process before the restart that is listed: its ends count,
+  // its clock does not.
+  bool is_outdated = report.incarnation == worker->incarnation &&
+                     report.requested_at < worker->restart_listed_at;
+  if (!is_outdated) {
+    observe_clock(*worker, report);
+  }
+  if (!worker->reachable && !is_outdated) {
     log_event(absl::StrCat("worker_reachable id=", id,
                            " running=", report.running.size(),
                            " ended=", report.ended.size()));
     worker->reachable = true;
     has_changes_ = true;
   }
-  worker->lease.observe_clock(report.clock, report.received_at,
-                              options_.longest_lease);
   for (const auto& end : report.ended) {
     apply_end(*worker, end, report.received_at);
   }
@@ -194,6 +207,34 @@
   update_pace(*worker, report.received_at);
 }
 
+/// Updates the bound on the worker's lease.
+void scheduler::observe_clock(worker_state& worker,
+                              const worker_report& report) {
+  bool is_first = worker.incarnation == 0;
+  bool restarted = !is_first && report.incarnation != worker.incarnation;
+  worker.incarnation = report.incarnation;
+  if (restarted) {
+    worker.lease.restart(report.clock, report.received_at, options_.given_lease,
+                         options_.longest_lease);
+    if (worker.lease.settled_at() > report.received_at) {
+      log_event(absl::StrCat("lease_not_settled id=", worker.entry.info.id,
+                             " life=", report.incarnation,
+                             " clock_ms=", report.clock.count()));
+    }
+    return;
+  }
+  // An earlier leader may have sent orders by the clock of a predecessor to a
+  // process that had just started.
+  auto orders_of_earlier_leaders_end =
+      takeover_ + options_.previous_leader_lease - options_.given_lease;
+  bool may_be_longer =
+      is_first && report.clock < options_.longest_lease &&
+      report.received_at - report.clock < orders_of_earlier_leaders_end;
+  worker.lease.observe_clock(
+      report.clock, report.received_at,
+      may_be_longer ? options_.longest_lease : options_.given_lease);
+}
+
 void scheduler::apply_end(worker_state& worker, const reported_end& end,
                           time_point now) {
   if (end.number <= worker.ends_applied) {
@@ -370,7 +411,10 @@
 
 std::int64_t scheduler::last_stored_end(const model::worker_id& id) const {
   const auto* worker = find_worker(id);
-  return worker == nullptr ? 0 : worker->ends_stored;
+  // A restarted process numbers its ends anew and would forget its own.
+  return worker == nullptr || !worker->lease.clock_known()
+             ? 0
+             : worker->ends_stored;
 }
 
 bool scheduler::has_unstored_ends(const model::worker_id& id) const {
--- a/packages/batch/test/lease_bound_test.cc
+++ b/packages/batch/test/lease_bound_test.cc
@@ -12,7 +12,7 @@
 TEST_CASE("a lease expires when the slowest clock has passed its deadline") {
   lease_bound lease;
   lease.observe_clock(50000ms, start, 0ms);
-  lease.extend(55000ms);
+  lease.extend(55000ms, start + 400ms);
   // 5 s on a clock that runs at 98% take 5.102 s.
   REQUIRE(lease.expires_at() >= start + 5102ms);
   REQUIRE(lease.expires_at() <= start + 5200ms);
@@ -36,10 +36,47 @@
 
 TEST_CASE("a worker that never responded has the bound of the takeover") {
   lease_bound lease(start + 8000ms);
-  lease.extend(1ms);
+  lease.extend(1ms, start);
   REQUIRE(lease.expires_at() == start + 8000ms);
   REQUIRE_FALSE(lease.clock_known());
 }
 
+TEST_CASE("a restarted worker holds no lease of before") {
+  lease_bound lease;
+  lease.observe_clock(50000ms, start, 5000ms);
+  lease.extend(55000ms, start + 400ms);
+  lease.restart(100ms, start + 1000ms, 5000ms, 10000ms);
+  REQUIRE(lease.settled_at() <= start + 1000ms);
+  REQUIRE(lease.expires_at() >= start + 6000ms);
+  REQUIRE(lease.expires_at() <= start + 6200ms);
+}
+
+TEST_CASE("a call that may reach a restarted worker grants the longest lease") {
+  lease_bound lease;
+  lease.observe_clock(50000ms, start, 5000ms);
+  lease.extend(55000ms, start + 1400ms);
+  // The worker may have started 1.02 s ago, before the call was given up.
+  lease.restart(1000ms, start + 2400ms, 5000ms, 10000ms);
+  REQUIRE(lease.expires_at() >= start + 12400ms);
+  REQUIRE(lease.settled_at() >= start + 7000ms);
+  REQUIRE(lease.settled_at() <= start + 7600ms);
+  // The call may still be on its way.
+  lease.extend(6000ms, start + 3000ms);
+  lease.restart(10ms, start + 2500ms, 5000ms, 10000ms);
+  REQUIRE(lease.expires_at() >= start + 13000ms);
+}
+
+TEST_CASE("leases count while the clock is not known") {
+  lease_bound lease;
+  lease.observe_clock(50000ms, start, 5000ms);
+  lease.extend(55000ms, start + 400ms);
+  auto before = lease.expires_at();
+  lease.forget_clock();
+  REQUIRE(lease.expires_at() == before);
+  lease.observe_clock(50100ms, start + 100ms, 5000ms);
+  REQUIRE(lease.clock_known());
+  REQUIRE(lease.expires_at() >= start + 5000ms);
+}
+
 }  // namespace
 }  // namespace vanillaladder::batch
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "batch/lease_bound.h"
 #include "batch/scheduler.h"
 
 namespace vanillaladder::batch {
@@ -32,13 +33,16 @@
     std::vector<active_run> running;
     std::vector<reported_end> ended;
     std::int64_t ends = 0;
+    /// When its clock was 0.
+    time_point started_at;
     bool unresponsive = false;
     bool drops_responses = false;
   };
 
   explicit scheduler_fixture(scheduler_options options = {})
       : options_(options) {
-    options_.longest_lease = 5000ms;
+    options_.given_lease = 5000ms;
+    options_.longest_lease = std::max(options_.longest_lease, 5000ms);
     options_.previous_leader_lease = 7000ms;
     take_over();
   }
@@ -129,7 +133,7 @@
     }
     worker_report message;
     message.incarnation = worker.entry.incarnation;
-    message.clock = clock_of_worker();
+    message.clock = clock_of(worker);
     message.requested_at = now_;
     message.received_at = now_;
     for (const auto& run : worker.running) {
@@ -142,8 +146,8 @@
     });
     message.ended = worker.ended;
     scheduler_->on_report(id, message);
-    scheduler_->on_lease_ordered(id,
-                                 clock_of_worker() + options_.longest_lease);
+    scheduler_->on_lease_ordered(id, clock_of(worker) + options_.given_lease,
+                                 now_ + lease_call_limit);
   }
 
   void report_all() {
@@ -154,6 +158,16 @@
 
   void advance_time(std::chrono::milliseconds time) { now_ += time; }
 
+  /// Replaces a worker's process by a new one under the same id.
+  void restart(const std::string& id) {
+    auto& worker = workers.at(id);
+    worker.running.clear();
+    worker.ended.clear();
+    worker.ends = 0;
+    worker.entry.incarnation += 1000;
+    worker.started_at = now_;
+  }
+
   /// Ends a run on its worker, which reports it next time.
   void end(const std::string& task, end_reason reason,
            const std::string& checkpoint = "") {
@@ -200,10 +214,13 @@
 
   scheduler& tested_scheduler() { return *scheduler_; }
   time_point now() const { return now_; }
-  milliseconds clock_of_worker() const {
-    return std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
+  milliseconds clock_of_worker() const { return clock_of({}); }
+  milliseconds clock_of(const fake_worker& worker) const {
+    return std::chrono::duration_cast<milliseconds>(now_ - worker.started_at);
   }
 
+  /// Limit of the calls that carry a lease.
+  static constexpr milliseconds lease_call_limit{1400};
   static constexpr unix_ms wall_start = 1'700'000'000'000;
 
   std::map<std::string, fake_worker> workers;
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -233,7 +233,8 @@
       f.tested_scheduler().plan(f.now(), scheduler_fixture::wall_start);
   REQUIRE(second.orders.empty());
   // Once the start has been answered, the lease that came with it counts.
-  f.tested_scheduler().on_lease_ordered("w1", f.clock_of_worker() + 5000ms);
+  f.tested_scheduler().on_lease_ordered("w1", f.clock_of_worker() + 5000ms,
+                                        f.now() + 400ms);
   f.execute(first.orders);
   f.workers.at("w1").unresponsive = true;
   f.advance_time(4900ms);
@@ -266,12 +267,98 @@
   f.add_worker("w1", {4000, 4000, 0});
   f.add_job("a", {scheduler_fixture::step(1, 1000)});
   f.plan();
-  f.workers.at("w1").running.clear();
-  f.workers.at("w1").entry.incarnation = 2000;
+  f.advance_time(scheduler_fixture::lease_call_limit + 100ms);
+  f.restart("w1");
+  f.advance_time(10ms);
+  f.report("w1");
+  f.plan();
+  REQUIRE(f.workers.at("w1").running.size() == 1);
+}
+
+scheduler_options with_longest_lease(milliseconds longest) {
+  scheduler_options options;
+  options.longest_lease = longest;
+  return options;
+}
+
+// Guards against two runs of a task at once: a call that reaches a restarted
+// worker with a deadline by the clock of its predecessor gives it the longest
+// lease, which the leader took for one of the usual length.
+TEST_CASE("a restarted worker may hold the longest lease") {
+  scheduler_fixture f(with_longest_lease(10000ms));
+  f.add_worker("w1", {4000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  // The last call to the predecessor is not over yet.
+  f.restart("w1");
   f.advance_time(10ms);
   f.report("w1");
+  auto reported_at = f.now();
+  f.plan();
+  REQUIRE(f.workers.at("w1").running.empty());
+  REQUIRE(f.logged("lease_not_settled id=w1"));
+  REQUIRE(f.tested_scheduler().lease_of("w1")->expires_at() >=
+          reported_at + 10000ms);
+  // Started only when a leader that counts on the given lease is right.
+  f.advance_time(5200ms + scheduler_fixture::lease_call_limit);
+  f.report("w1");
   f.plan();
   REQUIRE(f.workers.at("w1").running.size() == 1);
+  REQUIRE(f.tested_scheduler().lease_of("w1")->expires_at() <=
+          f.now() + 5200ms);
+}
+
+TEST_CASE("a worker that is listed as restarted gets no order by its clock") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  f.end("a.0.0.0", end_reason::done);
+  f.report("w1");
+  f.plan();
+  REQUIRE(f.tested_scheduler().last_stored_end("w1") == 1);
+  auto asked = f.now();
+  f.advance_time(10ms);
+  auto restarted = f.workers.at("w1").entry;
+  restarted.incarnation += 1000;
+  f.tested_scheduler().update_worker(restarted, f.now());
+  REQUIRE_FALSE(f.tested_scheduler().lease_of("w1")->clock_known());
+  REQUIRE(f.tested_scheduler().last_stored_end("w1") == 0);
+  // A late answer of the predecessor does not tell the clock either.
+  worker_report late;
+  late.incarnation = restarted.incarnation - 1000;
+  late.clock = f.clock_of_worker();
+  late.requested_at = asked;
+  late.received_at = f.now();
+  f.tested_scheduler().on_report("w1", late);
+  REQUIRE_FALSE(f.tested_scheduler().lease_of("w1")->clock_known());
+  f.add_job("b", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  REQUIRE(f.running() == 0);
+  // An answer to a later request does, also if the list was wrong.
+  late.requested_at = f.now();
+  f.tested_scheduler().on_report("w1", late);
+  REQUIRE(f.tested_scheduler().lease_of("w1")->clock_known());
+  f.plan();
+  REQUIRE(f.running() == 1);
+}
+
+// The same by the orders of an earlier leader, which a process that has just
+// started does not reject.
+TEST_CASE(
+    "a worker that started before a takeover may hold the longest lease") {
+  scheduler_fixture f(with_longest_lease(10000ms));
+  f.add_worker("w1", {4000, 4000, 0});
+  f.restart("w1");
+  f.advance_time(1000ms);
+  f.take_over();
+  f.report("w1");
+  REQUIRE(f.tested_scheduler().lease_of("w1")->expires_at() >=
+          f.now() + 10000ms);
+  f.advance_time(20000ms);
+  f.take_over();
+  f.report("w1");
+  REQUIRE(f.tested_scheduler().lease_of("w1")->expires_at() <=
+          f.now() + 5200ms);
 }
 
 // After a takeover, the store lists the runs that may exist and the reports of
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -220,7 +220,8 @@
   stop_leader();
   leader_options options;
   auto lease = std::min(settings_.longest_lease, preferred_lease);
-  options.scheduling.longest_lease = lease;
+  options.scheduling.given_lease = lease;
+  options.scheduling.longest_lease = settings_.longest_lease;
   options.scheduling.previous_leader_lease = leadership_options().lifetime +
                                              duration_on_slowest_clock(lease) +
                                              handover_slack;
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -55,6 +55,8 @@
   /// Whether the worker is one of `delayed_reports`.
   bool is_delayed = false;
   int failures = 0;
+  /// Whether the worker has reported since the link was added.
+  bool has_reported = false;
 };
 
 }  // namespace
@@ -80,7 +82,8 @@
   void request_delayed_reports();
   void handle_report(const model::worker_id& id,
                      absl::StatusOr<batch::worker_report> answer);
-  std::chrono::milliseconds extend_lease(const model::worker_id& id);
+  std::chrono::milliseconds extend_lease(const model::worker_id& id,
+                                         std::chrono::milliseconds timeout);
 
   void send_start(const batch::start_order& order, int attempt,
                   bool maybe_sent);
@@ -122,14 +125,17 @@
       "answer", name_of(answer));
 }
 
+/// @param timeout limit of the call that carries the lease.
+/// @return deadline on the worker's clock, or 0 if the clock is not known.
 std::chrono::milliseconds worker_links::impl::extend_lease(
-    const model::worker_id& id) {
+    const model::worker_id& id, std::chrono::milliseconds timeout) {
   const auto* lease = scheduler.lease_of(id);
   if (lease == nullptr || !lease->clock_known()) {
     return std::chrono::milliseconds(0);
   }
-  auto deadline = lease->clock_at(boot_now()) + options.lease_duration;
-  scheduler.on_lease_ordered(id, deadline);
+  auto now = boot_now();
+  auto deadline = lease->clock_at(now) + options.lease_duration;
+  scheduler.on_lease_ordered(id, deadline, now + timeout);
   return deadline;
 }
 
@@ -195,15 +201,18 @@
   link.report_in_flight = true;
   external::report_request request;
   request.permit = permit();
-  // The lease of a worker that does not answer must expire.
-  if (link.failures == 0) {
-    request.deadline = extend_lease(id);
+  auto wait = scheduler.needs_frequent_reports(id)
+                  ? options.sensitive_report_wait
+                  : options.report_wait;
+  // The lease of a worker that does not answer must expire. One that has not
+  // reported on this link, or did not answer, may have restarted: its clock and
+  // its numbers of ends may have started anew.
+  if (link.has_reported && link.failures == 0) {
+    request.deadline = extend_lease(id, wait + options.answer_limit);
+    request.stored_end = scheduler.last_stored_end(id);
   }
-  request.stored_end = scheduler.last_stored_end(id);
-  if (request.deadline.count() > 0 && link.failures == 0) {
-    request.wait = scheduler.needs_frequent_reports(id)
-                       ? options.sensitive_report_wait
-                       : options.report_wait;
+  if (request.deadline.count() > 0) {
+    request.wait = wait;
   }
   auto sent = boot_now();
   gateway.report(link.entry.info, request, request.wait + options.answer_limit,
@@ -244,6 +253,7 @@
     return;
   }
   link.failures = 0;
+  link.has_reported = true;
   scheduler.on_report(id, *answer);
   handlers.on_change();
   if (scheduler.has_unstored_ends(id)) {
@@ -273,7 +283,8 @@
     });
     return;
   }
-  external::start_permit start{permit(), extend_lease(order.worker)};
+  external::start_permit start{
+      permit(), extend_lease(order.worker, options.answer_limit)};
   gateway.start(
       found->second.entry.info, order, start, options.answer_limit,
       [self = shared_from_this(), order, attempt,
--- a/packages/dispatch/test/silent_gateway.h
+++ b/packages/dispatch/test/silent_gateway.h
@@ -10,6 +10,8 @@
   int stops = 0;
   /// Whether each report is answered by an idle worker.
   bool answers_reports = false;
+  /// The last report request.
+  external::report_request report_request;
   /// Permission of the last stop.
   external::call_permit stop_permit;
 };
@@ -18,9 +20,11 @@
 struct silent_gateway : external::worker_gateway {
   explicit silent_gateway(gateway_calls& calls_in) : calls(&calls_in) {}
 
-  void report(const model::worker_info&, const external::report_request&,
+  void report(const model::worker_info&,
+              const external::report_request& request,
               std::chrono::milliseconds, report_callback done) override {
     ++calls->reports;
+    calls->report_request = request;
     if (calls->answers_reports) {
       batch::worker_report idle;
       idle.incarnation = 1;
--- a/packages/dispatch/test/worker_links_test.cc
+++ b/packages/dispatch/test/worker_links_test.cc
@@ -129,5 +129,44 @@
   f.run_until([&] { return calls.reports == 3; });
 }
 
+// Guards against leases that outlast what the leader counts on: a worker that
+// was not listed for a while may have restarted, and takes a deadline by its
+// earlier clock for the longest lease. Its ends are numbered anew too.
+TEST_CASE("a worker that is listed again gets no order by its earlier clock") {
+  using std::chrono_literals::operator""ms;
+  daemon_fixture f;
+  gateway_calls calls;
+  calls.answers_reports = true;
+  silent_gateway gateway(calls);
+  batch::scheduler scheduler({}, boot_now(), [](const std::string&) {});
+  link_options options;
+  options.report_pause = 1ms;
+  worker_links links(
+      f.loop, gateway, scheduler, 7, options, [] { return true; },
+      {[] {}, [] {}}, f.report);
+  batch::worker_entry entry;
+  entry.info.id = "w";
+  entry.info.address = "10.0.0.1";
+  entry.info.port = 8000;
+  entry.incarnation = 1;
+  scheduler.update_worker(entry, boot_now());
+  links.update(entry);
+  f.run_until([&] { return calls.reports >= 3; });
+  REQUIRE(calls.report_request.deadline.count() > 0);
+  scheduler.remove_worker("w", boot_now());
+  auto reports = calls.reports;
+  bool elapsed = false;
+  f.loop.call_after(50ms, [&] { elapsed = true; });
+  f.run_until([&] { return elapsed; });
+  REQUIRE(calls.reports == reports);
+  calls.answers_reports = false;
+  entry.incarnation = 2;
+  scheduler.update_worker(entry, boot_now());
+  links.update(entry);
+  REQUIRE(calls.reports == reports + 1);
+  REQUIRE(calls.report_request.deadline.count() == 0);
+  REQUIRE(calls.report_request.stored_end == 0);
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
