--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -177,6 +177,8 @@
   void remove_run(step_state& step, int index, int number);
   void end_run(step_state& step, int index, int number, end_reason reason,
                std::string_view checkpoint, time_point now);
+  void complete_task(step_state& step, int index, time_point now);
+  void complete_gang(step_state& step, time_point now);
   void set_deadlines(job_entry& job, time_point arrival) const;
   void observe_size(const job_entry& job);
   void learn_run_time(const step_state& step, const run_state& run,
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -292,9 +292,7 @@
     task.failures = record.failures;
     task.checkpoint = record.checkpoint;
     if (record.done) {
-      task.done = true;
-      ++step->completed_tasks;
-      --step->waiting_tasks;
+      complete_task(*step, record.index, now);
     }
     for (const auto& run : record.runs) {
       auto& worker = workers_[run.worker];
@@ -313,6 +311,10 @@
       added.ordered_percent = -1;
     }
   }
+  if (step->spec->gang &&
+      std::ranges::any_of(step->tasks, &detail::task_state::done)) {
+    complete_gang(*step, now);
+  }
   // The previous leader may have stored the last failure of a task, but not yet
   // that its job has failed.
   if (std::ranges::any_of(step->tasks, [&](const auto& task) {
@@ -446,15 +448,9 @@
   remove_run(step, index, number);
   if (reason == end_reason::done && !step.spec->long_running) {
     worker.trust.on_task_done();
-    if (!task.done) {
-      if (task.is_waiting()) {
-        --step.waiting_tasks;
-      }
-      task.done = true;
-      ++step.completed_tasks;
-    }
-    for (auto& copy : task.runs) {
-      order_stop(step, index, copy, "copy_done", now);
+    complete_task(step, index, now);
+    if (step.spec->gang) {
+      complete_gang(step, now);
     }
     complete_job_if_done(*step.job);
   } else if (reason == end_reason::failed) {
@@ -466,6 +462,35 @@
   }
 }
 
+/// Marks a task as done and stops its remaining runs.
+void scheduler::complete_task(step_state& step, int index, time_point now) {
+  auto& task = step.tasks[static_cast<std::size_t>(index)];
+  if (!task.done) {
+    if (task.is_waiting()) {
+      --step.waiting_tasks;
+    }
+    task.done = true;
+    ++step.completed_tasks;
+  }
+  for (auto& run : task.runs) {
+    order_stop(step, index, run, "task_done", now);
+  }
+}
+
+/// Marks all members of a gang as done. They end together, so the end of one
+/// stands for those that are lost with their workers.
+void scheduler::complete_gang(step_state& step, time_point now) {
+  for (int n = 0; n < step.spec->count; ++n) {
+    if (!step.tasks[static_cast<std::size_t>(n)].done) {
+      log_event(absl::StrCat(
+          "gang_member_done task=", to_string(task_key{step.key, n}),
+          " by=another_member"));
+      step.dirty = true;
+    }
+    complete_task(step, n, now);
+  }
+}
+
 /// Learns from a run that did the whole work of its task at full speed.
 void scheduler::learn_run_time(const step_state& step, const run_state& run,
                                time_point now) {
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -520,6 +520,81 @@
   }
 }
 
+step_spec gang_step(int count) {
+  auto gang = scheduler_fixture::step(count, 1000);
+  gang.gang = true;
+  gang.per_worker_limit = 1;
+  return gang;
+}
+
+/// Starts a gang of three on three of four workers.
+void start_gang(scheduler_fixture& f) {
+  for (const auto* id : {"w1", "w2", "w3", "w4"}) {
+    f.add_worker(id, {2000, 9000, 0});
+  }
+  f.add_job("a", {gang_step(3)});
+  f.plan();
+  REQUIRE(f.running() == 3);
+}
+
+// Guards against a gang that works twice: its members end together, so one
+// reported end stands for those that are lost with their workers.
+TEST_CASE("a gang is done once the end of one member is reported") {
+  scheduler_fixture f;
+  start_gang(f);
+  auto lost = f.workers_running("a.0.0.0").at(0);
+  auto kind = GENERATE(as<std::string>(), "lost with its worker",
+                       "lost before the others are reported", "late");
+  INFO(kind);
+  if (kind == "lost before the others are reported") {
+    f.restart(lost);
+    f.advance_time(10ms);
+    f.report(lost);
+    f.plan();
+  }
+  for (const auto* task : {"a.0.0.0", "a.0.0.1", "a.0.0.2"}) {
+    f.end(task, end_reason::done);
+  }
+  if (kind == "lost with its worker") {
+    f.restart(lost);
+  } else if (kind == "late") {
+    f.workers.at(lost).unresponsive = true;
+  }
+  f.advance_time(10ms);
+  f.report_all();
+  f.plan();
+  REQUIRE(f.running() == 0);
+  f.workers.at(lost).unresponsive = false;
+  f.advance_time(20000ms);
+  f.report_all();
+  f.plan();
+  f.plan();
+  REQUIRE(f.running() == 0);
+  REQUIRE(stored_state(f, "a") == job_state::completed);
+}
+
+// A leader of an earlier version may have stored the end of some members only.
+TEST_CASE("a new leader takes a gang with one stored end as done") {
+  scheduler_fixture f;
+  start_gang(f);
+  auto records = *decode_tasks(f.records.at("a/0/0"));
+  records[1].done = true;
+  records[1].runs.clear();
+  f.take_over();
+  f.tested_scheduler().add_job(f.jobs.at("a"), f.now(),
+                               scheduler_fixture::wall_start);
+  REQUIRE(f.tested_scheduler().restore_progress({"a", 0, 0}, records, f.now()));
+  for (auto& [id, worker] : f.workers) {
+    worker.running.clear();
+  }
+  f.advance_time(20000ms);
+  f.report_all();
+  f.plan();
+  f.plan();
+  REQUIRE(f.running() == 0);
+  REQUIRE(stored_state(f, "a") == job_state::completed);
+}
+
 TEST_CASE("an occurrence starts at its scheduled time and not before") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 4000, 0});
