--- a/packages/batch/include/batch/job.h
+++ b/packages/batch/include/batch/job.h
@@ -129,6 +129,10 @@
 constexpr int max_tasks_per_job = 50'000;
 constexpr int max_occurrences = 100'000;
 constexpr milliseconds max_estimated_run_time = std::chrono::hours(24 * 365);
+constexpr unix_ms max_unix_time = 1'000'000'000'000'000;
+constexpr milliseconds max_interval = std::chrono::hours(24 * 365);
+/// Limit of each resource of a task, in its unit; above that of any worker.
+constexpr std::int64_t max_task_resource = 1'000'000'000;
 
 /// Validates a job.
 /// @return a description of the first problem, or an empty string if the job is
--- a/packages/batch/src/job.cc
+++ b/packages/batch/src/job.cc
@@ -52,6 +52,11 @@
   if (spec.repeat_count > 0 && spec.interval.count() < 0) {
     return "the interval of a job must not be negative";
   }
+  if (spec.repeat_count > 0 &&
+      (spec.first_run_at < 0 || spec.first_run_at > max_unix_time ||
+       spec.interval > max_interval)) {
+    return "the times of a job are out of range";
+  }
   std::int64_t tasks = 0;
   for (std::size_t n = 0; n < spec.steps.size(); ++n) {
     const auto& step = spec.steps[n];
@@ -72,6 +77,15 @@
         step.required_resources.accelerators < 0) {
       return absl::StrCat("step ", n, " has a negative resource requirement");
     }
+    if (step.required_resources.cpu_millis > max_task_resource ||
+        step.required_resources.memory_mib > max_task_resource ||
+        step.required_resources.accelerators > max_task_resource) {
+      return absl::StrCat("step ", n, " requires more than any worker has");
+    }
+    if (step.response_time_target.count() < 0 ||
+        step.response_time_target > max_estimated_run_time) {
+      return absl::StrCat("step ", n, " has an invalid response time target");
+    }
     for (int earlier : step.depends_on) {
       if (earlier < 0 || earlier >= static_cast<int>(n)) {
         return absl::StrCat("step ", n, " depends on step ", earlier,
--- a/packages/batch/src/job_deadlines.cc
+++ b/packages/batch/src/job_deadlines.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace vanillaladder::batch {
+namespace {
+
+/// Longer spans make no difference to decisions and would overflow when they
+/// are added to a time.
+constexpr milliseconds max_span = std::chrono::hours(24 * 365 * 10);
+
+}  // namespace
 
 milliseconds critical_path_length(const job_spec& spec,
                                   std::span<const milliseconds> run_times) {
@@ -15,7 +22,7 @@
   std::vector<milliseconds> remaining(spec.steps.size(), milliseconds(0));
   // Steps depend on earlier ones only.
   for (auto n = spec.steps.size(); n-- > 0;) {
-    remaining[n] += run_times[n];
+    remaining[n] = std::min(remaining[n] + run_times[n], max_span);
     for (int earlier : spec.steps[n].depends_on) {
       auto& chain = remaining[static_cast<std::size_t>(earlier)];
       chain = std::max(chain, remaining[n]);
@@ -26,9 +33,11 @@
 
 job_deadlines deadlines_of(const queue_policy& policy, milliseconds chain,
                            time_point arrival) {
-  auto stretched = static_cast<std::int64_t>(
-      policy.stretch * static_cast<double>(chain.count()));
-  auto span = milliseconds(stretched) + policy.target_latency;
+  auto stretched = std::min(policy.stretch * static_cast<double>(chain.count()),
+                            static_cast<double>(max_span.count()));
+  auto span = std::min(milliseconds(static_cast<std::int64_t>(stretched)) +
+                           std::min(policy.target_latency, max_span),
+                       max_span);
   return {arrival + span, arrival + job_deadlines::expiry_factor * span};
 }
 
--- a/packages/batch/test/job_deadlines_test.cc
+++ b/packages/batch/test/job_deadlines_test.cc
@@ -48,5 +48,22 @@
   REQUIRE(due.expired_at == start + 5250ms);
 }
 
+TEST_CASE("spans too long for a time are cut") {
+  job_spec spec;
+  spec.steps.resize(1000);
+  for (int n = 1; n < 1000; ++n) {
+    spec.steps[static_cast<std::size_t>(n)].depends_on = {n - 1};
+  }
+  std::vector<milliseconds> run_times(1000, max_estimated_run_time);
+  auto chain = critical_path_length(spec, run_times);
+  queue_policy policy;
+  policy.stretch = 1e6;
+  policy.target_latency = milliseconds::max();
+  time_point arrival{std::chrono::seconds(100)};
+  auto deadlines = deadlines_of(policy, chain, arrival);
+  REQUIRE(deadlines.due_at > arrival);
+  REQUIRE(deadlines.expired_at > deadlines.due_at);
+}
+
 }  // namespace
 }  // namespace vanillaladder::batch
--- a/packages/dispatch/include/dispatch/scheduling_daemon.h
+++ b/packages/dispatch/include/dispatch/scheduling_daemon.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -45,6 +47,7 @@
   void apply_job(std::string_view key, std::string_view value);
   void apply_operator(std::string_view key, std::string_view value);
   void apply_worker(std::string_view key, std::string_view value);
+  void remove_worker(const model::worker_id& id);
   void retain_closed_domains(const std::set<std::string>& keys);
   void retain_workers(const std::set<std::string>& keys);
   bool can_lead() const;
@@ -60,6 +63,8 @@
   batch::job_directory jobs_;
   config_view config_;
   std::map<model::worker_id, batch::worker_entry> workers_;
+  /// How often the newest entries of an id were refused in a row.
+  std::map<model::worker_id, std::uint64_t> refused_workers_;
   topic_follower jobs_follower_;
   topic_follower operator_follower_;
   topic_follower worker_follower_;
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <bit>
 
 #include "batch/job_records.h"
 #include "batch/lease_bound.h"
@@ -175,18 +176,30 @@
                                      std::string_view value) {
   model::worker_id id(key);
   if (value.empty()) {
-    workers_.erase(id);
-    if (leader_ != nullptr) {
-      leader_->on_worker_removed(id);
-    }
+    refused_workers_.erase(id);
+    remove_worker(id);
     return;
   }
   auto entry = decoder_.decode_worker(key, value);
   if (!entry.ok()) {
     report_.count("vanillaladder_records_unreadable_total", "topic",
                   decoder_.worker_topic());
+    // Logged for the first, second, fourth, ... time: another writer may repeat
+    // its entry.
+    auto count = ++refused_workers_[id];
+    if (std::has_single_bit(count)) {
+      report_.event(
+          "daemon",
+          absl::StrCat("record_unreadable topic=", decoder_.worker_topic(),
+                       " key=", id, " count=", count,
+                       " listed_before=", workers_.contains(id),
+                       " error=", runtime::error_message(entry.status())));
+    }
+    // The newest entry of this id names no worker to use.
+    remove_worker(id);
     return;
   }
+  refused_workers_.erase(id);
   auto& known = workers_[id];
   if (known == *entry) {
     return;
@@ -197,7 +210,15 @@
   }
 }
 
+void scheduling_daemon::remove_worker(const model::worker_id& id) {
+  if (workers_.erase(id) > 0 && leader_ != nullptr) {
+    leader_->on_worker_removed(id);
+  }
+}
+
 void scheduling_daemon::retain_workers(const std::set<std::string>& keys) {
+  std::erase_if(refused_workers_,
+                [&](const auto& each) { return !keys.contains(each.first); });
   std::erase_if(workers_, [&](const auto& each) {
     if (keys.contains(each.first)) {
       return false;
--- a/packages/dispatch/test/silent_gateway.h
+++ b/packages/dispatch/test/silent_gateway.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <map>
+
 #include "external/worker_gateway.h"
 
 namespace vanillaladder::dispatch {
 
 struct gateway_calls {
   int reports = 0;
+  std::map<model::worker_id, int> reports_by_worker;
   int starts = 0;
   int stops = 0;
   /// Whether each report is answered by an idle worker.
@@ -20,10 +23,11 @@
 struct silent_gateway : external::worker_gateway {
   explicit silent_gateway(gateway_calls& calls_in) : calls(&calls_in) {}
 
-  void report(const model::worker_info&,
+  void report(const model::worker_info& worker,
               const external::report_request& request,
               std::chrono::milliseconds, report_callback done) override {
     ++calls->reports;
+    ++calls->reports_by_worker[worker.id];
     calls->report_request = request;
     if (calls->answers_reports) {
       batch::worker_report idle;
--- a/packages/runtime/src/event_log.cc
+++ b/packages/runtime/src/event_log.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <climits>
 
+#include "runtime/log_text.h"
+
 namespace vanillaladder::runtime {
 namespace {
 
@@ -59,8 +61,9 @@
     unreported_drops_ = 0;
   }
   absl::StrAppend(&buffer_, wall_ms, " ", instance_, " ",
-                  absl::string_view(part.data(), part.size()), " ",
-                  absl::string_view(event.data(), event.size()), "\n");
+                  absl::string_view(part.data(), part.size()), " ");
+  append_log_text(buffer_, event);
+  buffer_ += '\n';
 }
 
 void event_log::flush() {
--- a/packages/runtime/src/log.cc
+++ b/packages/runtime/src/log.cc
@@ -8,6 +8,8 @@
 
 #include <memory>
 
+#include "runtime/log_text.h"
+
 namespace vanillaladder::runtime {
 namespace {
 
@@ -59,7 +61,9 @@
   auto part_logger = log4cxx::Logger::getLogger(part_);
   auto log4cxx_level = to_log4cxx_level(level);
   if (part_logger->isEnabledFor(log4cxx_level)) {
-    part_logger->forcedLog(log4cxx_level, std::string(line));
+    std::string text;
+    append_log_text(text, line);
+    part_logger->forcedLog(log4cxx_level, text);
   }
 }
 
--- a/packages/runtime/test/event_log_test.cc
+++ b/packages/runtime/test/event_log_test.cc
@@ -33,6 +33,20 @@
   REQUIRE(ends.read_all() == "1234 front-1 leader elected epoch=7\n");
 }
 
+// Guards against text from outside that forges a line or fills the log.
+TEST_CASE("control characters are escaped and long texts are cut") {
+  pipe_ends ends;
+  event_log log(ends.fds[1], "a");
+  log.write("p", std::string_view("host=x\n1 a p forged\0y\x7f", 22), start, 1);
+  log.flush();
+  REQUIRE(ends.read_all() == "1 a p host=x\\x0a1 a p forged\\x00y\\x7f\n");
+  log.write("p", std::string(70000, 'x'), start, 1);
+  log.flush();
+  auto line = ends.read_all();
+  REQUIRE(line.size() < 2100);
+  REQUIRE(line.ends_with("...(68000 bytes left out)\n"));
+}
+
 // Guards against unbounded log volume under load and against silent loss.
 TEST_CASE("lines over the rate are dropped and counted") {
   pipe_ends ends;
