--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -71,6 +71,9 @@
   time_point received_at;
   std::vector<reported_run> running;
   std::vector<reported_end> ended;
+  /// Whether `ended` contains all ends that are not stored. If not, a run that
+  /// stands in neither list may have ended.
+  bool lists_all_ends = true;
 };
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -285,6 +285,9 @@
     }
     reported.push_back({step, row.task.index, row.number});
   }
+  if (!report.lists_all_ends) {
+    return;
+  }
   auto refs = worker.runs;
   for (const auto& ref : refs) {
     auto* run = &ref.run();
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -35,6 +35,8 @@
     std::int64_t ends = 0;
     /// When its clock was 0.
     time_point started_at;
+    /// Its reports do not list all ends.
+    bool omits_ends = false;
     bool unresponsive = false;
     bool drops_responses = false;
   };
@@ -145,6 +147,7 @@
       return end.number <= stored_end;
     });
     message.ended = worker.ended;
+    message.lists_all_ends = !worker.omits_ends;
     scheduler_->on_report(id, message);
     scheduler_->on_lease_ordered(id, clock_of(worker) + options_.given_lease,
                                  now_ + lease_call_limit);
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -191,6 +191,33 @@
   REQUIRE(f.workers.at("w1").running[0].number == 2);
 }
 
+// Guards against tasks that run twice: a worker lists a limited number of ends
+// in one report, and runs whose ends it leaves out are not lost.
+TEST_CASE("a report that leaves out ends does not end the runs it omits") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(2, 1000)});
+  f.plan();
+  REQUIRE(f.running() == 2);
+  f.end("a.0.0.0", end_reason::done);
+  f.end("a.0.0.1", end_reason::done);
+  auto ends = f.workers.at("w1").ended;
+  f.workers.at("w1").ended.pop_back();
+  f.workers.at("w1").omits_ends = true;
+  f.advance_time(10ms);
+  f.report("w1");
+  f.plan();
+  REQUIRE(f.running() == 0);
+  f.workers.at("w1").ended = ends;
+  f.workers.at("w1").omits_ends = false;
+  f.advance_time(10ms);
+  f.report("w1");
+  f.plan();
+  f.plan();
+  REQUIRE(f.running() == 0);
+  REQUIRE(stored_state(f, "a") == job_state::completed);
+}
+
 // The tasks of an unreachable worker run until its lease expires.
 TEST_CASE("tasks of an unreachable worker start again after its lease") {
   scheduler_fixture f;
