--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -66,6 +66,7 @@
   std::string checkpoint;
   std::vector<run_state> runs;
   model::worker_id last_failed_worker;
+  time_point last_failed_at;
   time_point not_before;
 
   run_state* find_run(int number);
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -184,7 +184,7 @@
   void learn_run_time(const step_state& step, const run_state& run,
                       time_point now);
   void record_task_failure(step_state& step, int index,
-                           const worker_state& worker);
+                           const worker_state& worker, time_point now);
   void order_stop(step_state& step, int index, run_state& run,
                   std::string_view why, time_point now);
   void end_lost_runs(const worker_state& worker, std::span<const run_ref> lost,
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -455,7 +455,7 @@
     complete_job_if_done(*step.job);
   } else if (reason == end_reason::failed) {
     worker.trust.on_task_failed(step.key.job, now);
-    record_task_failure(step, index, worker);
+    record_task_failure(step, index, worker, now);
     if (has_ended(step.job->state)) {
       stop_all_runs(*step.job, now);
     }
@@ -504,10 +504,12 @@
 }
 
 void scheduler::record_task_failure(step_state& step, int index,
-                                    const worker_state& worker) {
+                                    const worker_state& worker,
+                                    time_point now) {
   auto& task = step.tasks[static_cast<std::size_t>(index)];
   ++task.failures;
   task.last_failed_worker = worker.entry.info.id;
+  task.last_failed_at = now;
   auto& job = *step.job;
   if (has_failed_too_often(step, task)) {
     log_event(absl::StrCat("job_hopeless id=", step.key.job,
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -29,6 +29,10 @@
 /// How long waiting long-running tasks let tasks that end by themselves start
 /// first. Well below 6 s, after which a task that does not run counts as lost.
 constexpr milliseconds long_running_patience{3500};
+/// How long a task is not placed on the worker on which it failed last. The
+/// worker may be the only one that can run it, and a task that waits for 3 s
+/// beside free room counts as lost.
+constexpr milliseconds failed_worker_pause{2000};
 /// Cost of a start, with its record, order and log line, in units of examining
 /// one worker.
 constexpr int start_cost_units = 64;
@@ -216,8 +220,10 @@
   if (now < worker.lease.settled_at()) {
     return obstacle::lease_not_settled;
   }
+  bool has_just_failed_there = info.id == task.last_failed_worker &&
+                               now < task.last_failed_at + failed_worker_pause;
   if (!worker.trust.may_start(now, count_finite_runs(worker)) ||
-      (task.failures > 0 && info.id == task.last_failed_worker)) {
+      has_just_failed_there) {
     return obstacle::not_trusted;
   }
   if (spec.per_worker_limit > 0 &&
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -139,6 +139,29 @@
   REQUIRE(f.workers_running("a.0.0.0").at(0) != first);
 }
 
+// Guards against accepted work that is never started again: the worker on which
+// a task failed last may be the only one that can run it.
+TEST_CASE("a failed task is tried again on the only worker that can run it") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 4});
+  f.add_worker("w2", {4000, 4000, 0});
+  auto step = scheduler_fixture::step(1, 1000);
+  step.required_resources.accelerators = 1;
+  step.long_running = GENERATE(false, true);
+  f.add_job("a", {step}, 3);
+  f.plan();
+  f.end("a.0.0.0", end_reason::failed);
+  f.advance_time(10ms);
+  f.report_all();
+  f.plan();
+  REQUIRE(f.running() == 0);
+  // A task that waits while there is room counts as lost after 3 s.
+  f.advance_time(2500ms);
+  f.report_all();
+  f.plan();
+  REQUIRE(f.workers_running("a.0.0.0") == std::vector<std::string>{"w1"});
+}
+
 // A start order without a response may still be executed seconds later.
 TEST_CASE("an unanswered start is stopped before the task starts elsewhere") {
   scheduler_fixture f;
