--- a/packages/external/include/external/worker_gateway.h
+++ b/packages/external/include/external/worker_gateway.h
@@ -92,7 +92,7 @@
   virtual void pace(const model::worker_info& worker,
                     const batch::pace_order& order, const call_permit& permit,
                     std::chrono::milliseconds timeout, order_callback done) = 0;
-  /// Closes the connections to a worker.
+  /// Closes the connections to a worker. Pending calls end as failed.
   virtual void disconnect(const model::worker_id& worker) = 0;
 };
 
--- a/packages/http/include/http/channel.h
+++ b/packages/http/include/http/channel.h
@@ -66,6 +66,11 @@
   void send(request message, std::chrono::milliseconds timeout, callback done,
             std::function<bool()> may_send = {});
 
+  /// Closes the connections and ends each pending call with its callback, on
+  /// the loop's thread after this function. The channel must not be used again
+  /// but to destroy it; the callbacks run also after that.
+  void close();
+
   /// @return "address:port", for errors and logs.
   const std::string& peer() const;
   /// @return connections opened since the channel was created.
--- a/packages/http/src/channel.cc
+++ b/packages/http/src/channel.cc
@@ -8,6 +8,7 @@
 #include <deque>
 #include <list>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "http/detail/response_reader.h"
@@ -74,6 +75,7 @@
   void on_closed(connection& conn, std::string_view cause);
   void detach(connection& conn);
   void on_timeout(std::uint64_t id);
+  std::vector<std::pair<call, bool>> drop_calls();
   void finish(call ended_call, client_result result) const;
   client_failure make_failure(const call& failed_call, absl::StatusCode code,
                               failure_phase phase,
@@ -90,6 +92,9 @@
   std::uint64_t last_call_id = 0;
   std::uint64_t connections_opened = 0;
   bool destroyed = false;
+  /// Whether the channel was destroyed without `close`, so that the remaining
+  /// callbacks must not run.
+  bool drops_callbacks = false;
 };
 
 int channel::impl::on_event(lws* native, lws_callback_reasons reason, void*,
@@ -282,7 +287,7 @@
         std::chrono::milliseconds(0),
         [self = shared_from_this(), failed_call = std::move(*ended_call),
          result = std::move(result)]() mutable {
-          if (!self->destroyed) {
+          if (!self->drops_callbacks) {
             self->finish(std::move(failed_call), std::move(result));
           }
         });
@@ -329,6 +334,30 @@
   }
 }
 
+/// Closes all connections.
+/// @return the pending calls, and whether each may have been sent.
+std::vector<std::pair<call, bool>> channel::impl::drop_calls() {
+  destroyed = true;
+  std::vector<std::pair<call, bool>> dropped;
+  for (auto& conn : connections) {
+    if (conn.current_call) {
+      bool sent = conn.connected && conn.unsent_bytes.empty();
+      dropped.emplace_back(std::move(*conn.current_call), sent);
+    }
+    conn.context->conn = nullptr;
+    lws_set_timeout(conn.native, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  }
+  for (auto& waiting_call : waiting_calls) {
+    dropped.emplace_back(std::move(waiting_call), false);
+  }
+  connections.clear();
+  waiting_calls.clear();
+  for (auto& each : dropped) {
+    shared_transport->loop().cancel(each.first.timer);
+  }
+  return dropped;
+}
+
 void channel::impl::finish(call ended_call, client_result result) const {
   shared_transport->loop().cancel(ended_call.timer);
   ended_call.done(std::move(result));
@@ -371,20 +400,22 @@
 }
 
 channel::~channel() {
-  impl_->destroyed = true;
+  impl_->drops_callbacks = !impl_->destroyed;
+  impl_->drop_calls();
+}
+
+void channel::close() {
   auto& loop = impl_->shared_transport->loop();
-  for (auto& conn : impl_->connections) {
-    if (conn.current_call) {
-      loop.cancel(conn.current_call->timer);
-    }
-    conn.context->conn = nullptr;
-    lws_set_timeout(conn.native, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-  }
-  for (auto& waiting_call : impl_->waiting_calls) {
-    loop.cancel(waiting_call.timer);
+  for (auto& [ended_call, sent] : impl_->drop_calls()) {
+    auto result = impl_->make_failure(
+        ended_call, absl::StatusCode::kUnavailable,
+        sent ? failure_phase::possibly_sent : failure_phase::not_sent,
+        "the channel is closed");
+    loop.call_after(
+        std::chrono::milliseconds(0),
+        [done = std::move(ended_call.done),
+         result = std::move(result)]() mutable { done(std::move(result)); });
   }
-  impl_->connections.clear();
-  impl_->waiting_calls.clear();
 }
 
 void channel::send(request message, std::chrono::milliseconds timeout,
@@ -402,7 +433,7 @@
     loop.call_after(std::chrono::milliseconds(0),
                     [self = impl_, next_call = std::move(next_call),
                      result = std::move(result)]() mutable {
-                      if (!self->destroyed) {
+                      if (!self->drops_callbacks) {
                         next_call.done(std::move(result));
                       }
                     });
--- a/packages/http/test/channel_test.cc
+++ b/packages/http/test/channel_test.cc
@@ -115,5 +115,36 @@
           failure_phase::not_sent);
 }
 
+// Guards against callers that wait forever for a call of a closed channel.
+TEST_CASE("each pending call of a closed channel ends once") {
+  fixture f;
+  f.hold_responses = true;
+  auto calls = std::make_unique<channel>(f.shared_transport, "127.0.0.1",
+                                         f.peer->port(), channel_options{1, 2});
+  // The first is sent, the next two wait, the last finds no place.
+  for (int n = 0; n < 4; ++n) {
+    calls->send({"POST", "/x", {}, "a"}, 5s, f.collect(4));
+    f.loop.call_after(20ms, [&] { f.loop.stop(); });
+    f.loop.run();
+  }
+  REQUIRE(f.results.size() == 1);
+  calls->send({"POST", "/x", {}, "a"}, 5s, f.collect(5));
+  calls->close();
+  calls.reset();
+  f.loop.call_after(50ms, [&] { f.loop.stop(); });
+  f.loop.run();
+  f.loop.call_after(50ms, [&] { f.loop.stop(); });
+  f.loop.run();
+  REQUIRE(f.results.size() == 5);
+  int possibly_sent = 0;
+  for (const auto& result : f.results) {
+    possibly_sent +=
+        std::get<client_failure>(result).phase == failure_phase::possibly_sent
+            ? 1
+            : 0;
+  }
+  REQUIRE(possibly_sent == 1);
+}
+
 }  // namespace
 }  // namespace vanillaladder::http
