--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -76,6 +76,8 @@
                       const std::function<void(job_answer)>& done) const;
   void cancel_known_job(const model::job_id& id,
                         std::function<void(cancel_result)> done);
+  void store_cancellation(const model::job_id& id,
+                          std::function<void(cancel_result)> done);
 
   http::event_loop* loop_;
   append_batcher appends_;
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -170,6 +170,13 @@
       cancel_known_job(id, std::move(done));
       return;
     }
+    if (outcomes_.refusal_of(id) == submit_result::unknown) {
+      // A submission sent by this daemon may still be stored. It is cancelled
+      // whether or not it will be.
+      report_.routine("desk", absl::StrCat("cancel_unresolved id=", id));
+      store_cancellation(id, std::move(done));
+      return;
+    }
     report_.routine("desk",
                     absl::StrCat("cancel_unknown id=", id, " fresh=", fresh));
     done(fresh ? cancel_result::no_such_job : cancel_result::unavailable);
@@ -182,6 +189,11 @@
     done(cancel_result::cancelled);
     return;
   }
+  store_cancellation(id, std::move(done));
+}
+
+void job_service::store_cancellation(const model::job_id& id,
+                                     std::function<void(cancel_result)> done) {
   batch::topic_record record{
       to_string(batch::job_record_key{batch::record_kind::cancellation, id}),
       "1"};
--- a/packages/dispatch/test/job_service_test.cc
+++ b/packages/dispatch/test/job_service_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 
+#include "batch/job_records.h"
 #include "daemon_fixture.h"
 
 namespace vanillaladder::dispatch {
@@ -45,6 +46,32 @@
   REQUIRE(f.submit("b") == submit_result::accepted);
 }
 
+// Guards against a job that runs after its caller was told that there is none:
+// its append was late, and the cancel came before it.
+TEST_CASE("a submission without a known outcome can be cancelled") {
+  fixture f;
+  auto cancel = [&](const std::string& id) {
+    std::optional<cancel_result> result;
+    f.service.cancel(id, [&](cancel_result made) { result = made; });
+    f.run_until([&] { return result.has_value(); });
+    return *result;
+  };
+  f.store.unreachable = true;
+  REQUIRE(f.submit("a") == submit_result::unknown);
+  f.store.unreachable = false;
+  REQUIRE(cancel("a") == cancel_result::cancelled);
+  REQUIRE(cancel("b") == cancel_result::no_such_job);
+  batch::job_spec spec;
+  spec.id = "a";
+  f.store.topic.push_back({"j/a", batch::encode(spec)});
+  f.run_until([&] {
+    const auto* found = f.jobs.find("a");
+    return found != nullptr && found->spec != nullptr;
+  });
+  REQUIRE(f.jobs.find("a")->cancelled);
+  REQUIRE(f.jobs.find("a")->visible_state() == batch::job_state::cancelled);
+}
+
 // A refusal tells the caller that the job never runs. After a lost answer the
 // job may be stored already.
 TEST_CASE("a submission is not refused after an answer to it was lost") {
