--- a/packages/http/src/channel.cc
+++ b/packages/http/src/channel.cc
@@ -8,7 +8,6 @@
 #include <deque>
 #include <list>
 #include <optional>
-#include <utility>
 #include <vector>
 
 #include "http/detail/response_reader.h"
@@ -31,6 +30,12 @@
   event_loop::timer_id timer = 0;
 };
 
+/// A call whose channel was closed before its end.
+struct dropped_call {
+  call pending;
+  bool possibly_sent = false;
+};
+
 std::string serialize(const request& message, const std::string& host) {
   auto text = absl::StrCat(message.method, " ", message.target,
                            " HTTP/1.1\r\nHost: ", host, "\r\n");
@@ -75,7 +80,7 @@
   void on_closed(connection& conn, std::string_view cause);
   void detach(connection& conn);
   void on_timeout(std::uint64_t id);
-  std::vector<std::pair<call, bool>> drop_calls();
+  std::vector<dropped_call> drop_calls();
   void finish(call ended_call, client_result result) const;
   client_failure make_failure(const call& failed_call, absl::StatusCode code,
                               failure_phase phase,
@@ -335,25 +340,25 @@
 }
 
 /// Closes all connections.
-/// @return the pending calls, and whether each may have been sent.
-std::vector<std::pair<call, bool>> channel::impl::drop_calls() {
+/// @return the pending calls.
+std::vector<dropped_call> channel::impl::drop_calls() {
   destroyed = true;
-  std::vector<std::pair<call, bool>> dropped;
+  std::vector<dropped_call> dropped;
   for (auto& conn : connections) {
     if (conn.current_call) {
       bool sent = conn.connected && conn.unsent_bytes.empty();
-      dropped.emplace_back(std::move(*conn.current_call), sent);
+      dropped.push_back({std::move(*conn.current_call), sent});
     }
     conn.context->conn = nullptr;
     lws_set_timeout(conn.native, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
   }
   for (auto& waiting_call : waiting_calls) {
-    dropped.emplace_back(std::move(waiting_call), false);
+    dropped.push_back({std::move(waiting_call), false});
   }
   connections.clear();
   waiting_calls.clear();
   for (auto& each : dropped) {
-    shared_transport->loop().cancel(each.first.timer);
+    shared_transport->loop().cancel(each.pending.timer);
   }
   return dropped;
 }
@@ -406,10 +411,10 @@
 
 void channel::close() {
   auto& loop = impl_->shared_transport->loop();
-  for (auto& [ended_call, sent] : impl_->drop_calls()) {
+  for (auto& [ended_call, possibly_sent] : impl_->drop_calls()) {
     auto result = impl_->make_failure(
         ended_call, absl::StatusCode::kUnavailable,
-        sent ? failure_phase::possibly_sent : failure_phase::not_sent,
+        possibly_sent ? failure_phase::possibly_sent : failure_phase::not_sent,
         "the channel is closed");
     loop.call_after(
         std::chrono::milliseconds(0),
