--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -13,9 +13,11 @@
 
 /// Safety margin for a run to finish before its leaving worker terminates.
 constexpr milliseconds drain_margin{300};
-/// A run without progress for this time is stalled. A healthy run takes at most
-/// 5 s and so completes at least 1% of its work every 50 ms.
+/// A run without progress for this time is stalled, unless a percent of its work,
+/// the smallest progress that is reported, may take as long.
 constexpr milliseconds stall_timeout{2500};
+/// How many times as long as estimated a percent of the work may take.
+constexpr int stall_factor = 5;
 /// How long the history of a worker that left the list is kept.
 constexpr milliseconds departed_worker_retention{30000};
 /// Delay before a task whose start was refused is placed again.
@@ -313,7 +315,9 @@
     run.progressed_at = report.clock;
   }
   run.progress = progress;
-  if (report.clock - *run.progressed_at > stall_timeout) {
+  auto limit = std::max(stall_timeout,
+                        stall_factor * step.spec->estimated_run_time / 100);
+  if (report.clock - *run.progressed_at > limit) {
     run.worker->trust.on_refused(report.received_at);
     order_stop(step, index, run, "stands_still", report.received_at);
   }
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -841,6 +841,29 @@
   REQUIRE(f.workers.at("w1").running.at(0).number == 1);
 }
 
+// Guards against a long task that is stopped again and again: a percent of its
+// work takes longer than a healthy short task may stand still.
+TEST_CASE("a long task makes no progress for seconds without being stopped") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  auto step = scheduler_fixture::step(1, 1000);
+  step.estimated_run_time = 600s;
+  f.add_job("a", {step});
+  f.plan();
+  auto advance = [&](std::chrono::seconds time) {
+    for (int n = 0; n < time.count(); ++n) {
+      f.advance_time(1s);
+      f.report("w1");
+      f.plan();
+    }
+  };
+  advance(20s);
+  REQUIRE(f.running() == 1);
+  REQUIRE_FALSE(f.logged("stands_still"));
+  advance(20s);
+  REQUIRE(f.logged("stands_still"));
+}
+
 TEST_CASE("a task whose start was refused waits before the next attempt") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 9000, 0});
