--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -13,8 +13,8 @@
 
 /// Safety margin for a run to finish before its leaving worker terminates.
 constexpr milliseconds drain_margin{300};
-/// A run without progress for this time is stalled, unless a percent of its work,
-/// the smallest progress that is reported, may take as long.
+/// A run without progress for this time is stalled, unless a percent of its
+/// work, the smallest progress that is reported, may take as long.
 constexpr milliseconds stall_timeout{2500};
 /// How many times as long as estimated a percent of the work may take.
 constexpr int stall_factor = 5;
