--- a/packages/http/include/http/message.h
+++ b/packages/http/include/http/message.h
@@ -22,7 +22,8 @@
   std::string target = "/";
   std::vector<header> headers = {};
   std::string body = {};
-  /// Value of the Host header; set only by the server.
+  /// Value of the Host header. `client` sends the peer's address if it is
+  /// empty.
   std::string host = {};
 };
 
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -232,7 +232,8 @@
   info.context = loop->native();
   info.vhost = vhost;
   info.address = address.c_str();
-  info.host = current->peer.c_str();
+  const auto& host = current->message.host;
+  info.host = host.empty() ? current->peer.c_str() : host.c_str();
   info.origin = nullptr;
   info.port = port;
   info.path = current->message.target.c_str();
--- a/tests/harness/include/harness/child.h
+++ b/tests/harness/include/harness/child.h
@@ -21,9 +21,11 @@
   /// Starts a program of the build's bin folder, or of the folder that the
   /// environment variable `VL_BIN_DIR` names.
   /// @param error_file gets its standard error.
+  /// @param output_file gets its standard output, if it is not read by lines.
   /// @throws std::runtime_error if it cannot be started.
   child(const std::string& program, const std::vector<std::string>& arguments,
-        std::filesystem::path error_file);
+        std::filesystem::path error_file,
+        const std::filesystem::path& output_file = {});
   ~child();
   child(const child&) = delete;
   child& operator=(const child&) = delete;
--- a/tests/harness/include/harness/cluster.h
+++ b/tests/harness/include/harness/cluster.h
@@ -29,6 +29,11 @@
   std::map<std::string, std::int64_t> limits = {{"drain_delay_ms", 200}};
 };
 
+/// @return a new temporary folder.
+std::filesystem::path make_folder();
+/// @return sanitizer reports and failed assertions in the files of a folder.
+std::string find_faults(const std::filesystem::path& folder);
+
 /// A running stand-in program.
 class standin {
  public:
@@ -123,7 +128,7 @@
                                std::int64_t ms,
                                std::vector<http::header> headers = {});
   /// @return sanitizer reports and failed assertions of all processes.
-  std::string faults() const;
+  std::string faults() const { return find_faults(folder_); }
 
  private:
   void publish_instances();
--- a/tests/harness/src/child.cc
+++ b/tests/harness/src/child.cc
@@ -36,7 +36,8 @@
 
 pid_t spawn(const std::string& program,
             const std::vector<std::string>& arguments, int input, int output,
-            const std::string& error_file) {
+            const std::string& error_file,
+            const std::string& output_file = {}) {
   const char* folder = std::getenv("VL_BIN_DIR");
   auto path =
       std::string(folder == nullptr ? VL_BIN_DIR : folder) + "/" + program;
@@ -52,7 +53,12 @@
   posix_spawn_file_actions_t files{};
   posix_spawn_file_actions_init(&files);
   posix_spawn_file_actions_adddup2(&files, input, STDIN_FILENO);
-  posix_spawn_file_actions_adddup2(&files, output, STDOUT_FILENO);
+  if (output_file.empty()) {
+    posix_spawn_file_actions_adddup2(&files, output, STDOUT_FILENO);
+  } else {
+    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, output_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+  }
   posix_spawn_file_actions_addopen(&files, STDERR_FILENO, error_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   pid_t pid = -1;
@@ -86,13 +92,14 @@
 
 child::child(const std::string& program,
              const std::vector<std::string>& arguments,
-             std::filesystem::path error_file)
+             std::filesystem::path error_file,
+             const std::filesystem::path& output_file)
     : guard_(guard_input()), error_file_(std::move(error_file)) {
   std::signal(SIGPIPE, SIG_IGN);
   auto input = make_pipe();
   auto output = make_pipe();
   pid_ = spawn(program, arguments, input.read_end, output.write_end,
-               error_file_.string());
+               error_file_.string(), output_file.string());
   bool guarded = tell_guard(guard_, '+', pid_);
   close(input.read_end);
   close(output.write_end);
--- a/tests/harness/src/cluster.cc
+++ b/tests/harness/src/cluster.cc
@@ -15,15 +15,6 @@
 namespace vanillaladder::harness {
 namespace {
 
-std::filesystem::path make_folder() {
-  auto pattern =
-      (std::filesystem::temp_directory_path() / "vl-test-XXXXXX").string();
-  if (mkdtemp(pattern.data()) == nullptr) {
-    throw std::runtime_error("cannot create a temporary folder");
-  }
-  return pattern;
-}
-
 std::uint16_t port_after(const std::string& line, const std::string& label) {
   auto at = line.find(label);
   if (at == std::string::npos) {
@@ -38,6 +29,31 @@
 
 }  // namespace
 
+std::filesystem::path make_folder() {
+  auto pattern =
+      (std::filesystem::temp_directory_path() / "vl-test-XXXXXX").string();
+  if (mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("cannot create a temporary folder");
+  }
+  return pattern;
+}
+
+std::string find_faults(const std::filesystem::path& folder) {
+  std::string found;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    std::ifstream file(entry.path());
+    std::string line;
+    while (std::getline(file, line)) {
+      if (line.find("Sanitizer") != std::string::npos ||
+          line.find("runtime error:") != std::string::npos ||
+          line.find("terminate called") != std::string::npos) {
+        found += entry.path().filename().string() + ": " + line + "\n";
+      }
+    }
+  }
+  return found;
+}
+
 standin::standin(caller& http, const std::string& program,
                  const std::vector<std::string>& arguments,
                  const std::filesystem::path& folder, std::size_t listeners)
@@ -298,20 +314,4 @@
        std::move(headers), body});
 }
 
-std::string cluster::faults() const {
-  std::string found;
-  for (const auto& entry : std::filesystem::directory_iterator(folder_)) {
-    std::ifstream file(entry.path());
-    std::string line;
-    while (std::getline(file, line)) {
-      if (line.find("Sanitizer") != std::string::npos ||
-          line.find("runtime error:") != std::string::npos ||
-          line.find("terminate called") != std::string::npos) {
-        found += entry.path().filename().string() + ": " + line + "\n";
-      }
-    }
-  }
-  return found;
-}
-
 }  // namespace vanillaladder::harness
--- a/tests/standins/include/standins/host.h
+++ b/tests/standins/include/standins/host.h
@@ -27,6 +27,9 @@
   absl::Status listen(const std::string& label, std::uint16_t port,
                       http::server::handler handler);
 
+  /// @return the port of the last `listen`.
+  std::uint16_t last_port() const { return servers_.back()->port(); }
+
   /// Runs until SIGTERM, SIGINT or the end of standard input.
   void run();
 
