--- a/packages/dispatch/include/dispatch/topic_follower.h
+++ b/packages/dispatch/include/dispatch/topic_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -46,10 +47,14 @@
   void start();
   /// Changes the pause between reads. A shorter one ends the current pause.
   void set_read_pause(std::chrono::milliseconds pause);
-  /// Reads once without waiting for new records.
+  /// Changes how long later reads wait for a new record.
+  void set_read_wait(std::chrono::milliseconds wait);
+  /// Reads once without waiting for new records. Reads nothing during a load.
   /// @param done receives whether the copy contains all records that the topic
   ///   had when this was called.
-  void refresh(std::function<void(bool)> done);
+  /// @param timeout limit of the read; the store has a default.
+  void refresh(std::function<void(bool)> done,
+               std::optional<std::chrono::milliseconds> timeout = {});
   /// Applies records that this daemon has appended.
   void apply(const external::record_batch& batch);
   /// Calls `done` once the copy contains all records before `offset`.
@@ -60,8 +65,12 @@
   bool store_reachable() const;
   /// @return offset of the next record to read.
   model::offset next() const;
-  /// @return when the last successful read was sent.
+  /// @return when the last successful read was sent. The copy may be older:
+  ///   a page of a load counts too.
   model::time_point last_read_sent_at() const;
+  /// @return the time as of which the copy is known to contain all records of
+  ///   the topic; the clock's epoch before the first load.
+  model::time_point current_as_of() const;
   /// @return when the last successful read was answered.
   model::time_point last_read_answered_at() const;
 
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -113,7 +113,7 @@
   bool is_long_running =
       job.spec != nullptr && !job.spec->steps.empty() &&
       std::ranges::all_of(job.spec->steps, &batch::step_spec::long_running);
-  return boot_now() - follower_->last_read_sent_at() <
+  return boot_now() - follower_->current_as_of() <
          (is_long_running ? max_shown_age_long_running : max_shown_age);
 }
 
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -11,6 +11,7 @@
 #include "batch/job_records.h"
 #include "batch/work_budget.h"
 #include "dispatch/clock.h"
+#include "dispatch/rising_timeout.h"
 #include "dispatch/work_timer.h"
 #include "runtime/error.h"
 
@@ -18,6 +19,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_pause{100};
+/// Timeouts of a page of the stored progress; nothing starts before it is read.
+constexpr std::chrono::milliseconds first_page_timeout{1500};
+constexpr std::chrono::milliseconds highest_page_timeout{6000};
 /// A plan that exceeds the budget of one event-loop turn continues in later
 /// turns. Its parts share one append unless that would delay the first start by
 /// more than this.
@@ -97,6 +101,7 @@
   work_timer send_timer;
   std::unique_ptr<worker_links> links;
   std::vector<batch::topic_record> progress_records;
+  rising_timeout page_timeout{first_page_timeout, highest_page_timeout};
   absl::flat_hash_map<std::string, batch::worker_entry> workers;
   model::time_point started = boot_now();
   /// When the current or the last plan was started.
@@ -193,27 +198,31 @@
 }
 
 void leader::impl::load_progress(const std::string& after) {
-  context.store.read_newest(std::string(batch::progress_topic), after,
-                            [self = shared_from_this(), after](
-                                absl::StatusOr<external::newest_page> page) {
-                              if (self->stopped) {
-                                return;
-                              }
-                              if (!page.ok()) {
-                                self->defer(retry_pause, [self, after] {
-                                  self->load_progress(after);
-                                });
-                                return;
-                              }
-                              self->progress_records.insert(
-                                  self->progress_records.end(),
-                                  page->records.begin(), page->records.end());
-                              if (page->more && !page->records.empty()) {
-                                self->load_progress(page->records.back().key);
-                              } else {
-                                self->on_topic_loaded("progress");
-                              }
-                            });
+  context.store.read_newest(
+      std::string(batch::progress_topic), after, page_timeout.value(),
+      [self = shared_from_this(),
+       after](absl::StatusOr<external::newest_page> page) {
+        if (self->stopped) {
+          return;
+        }
+        if (!page.ok()) {
+          if (absl::IsUnknown(page.status())) {
+            self->page_timeout.on_unanswered();
+          }
+          self->defer(retry_pause,
+                      [self, after] { self->load_progress(after); });
+          return;
+        }
+        self->page_timeout.on_answered();
+        self->progress_records.insert(self->progress_records.end(),
+                                      page->records.begin(),
+                                      page->records.end());
+        if (page->more && !page->records.empty()) {
+          self->load_progress(page->records.back().key);
+        } else {
+          self->on_topic_loaded("progress");
+        }
+      });
 }
 
 void leader::impl::restore_job(const batch::job_directory::entry& job) {
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -272,8 +272,10 @@
                 sequence](absl::StatusOr<model::offset> end) {
                  self->log_append(now, end.status());
                  if (end.ok()) {
-                   self->follower.apply(
-                       {expected_end, {records.begin(), records.end()}});
+                   external::record_batch own;
+                   own.first_offset = expected_end;
+                   own.records.assign(records.begin(), records.end());
+                   self->follower.apply(own);
                  }
                  if (self->pending_sequence != sequence) {
                    return;
--- a/packages/dispatch/src/record_writer.cc
+++ b/packages/dispatch/src/record_writer.cc
@@ -5,17 +5,17 @@
 #include <optional>
 #include <vector>
 
+#include "dispatch/rising_timeout.h"
 #include "runtime/error.h"
 
 namespace vanillaladder::dispatch {
 namespace {
 
 constexpr std::chrono::milliseconds retry_pause{100};
-/// Timeout of the first attempt of a registration. Short, since nothing starts
-/// before it is answered, and repeating it is safe.
+/// Timeouts of the attempts of a registration. Short at first, since nothing
+/// starts before it is answered, and repeating it is safe.
 constexpr std::chrono::milliseconds first_open_timeout{300};
-/// Above this timeout, the default of the store applies.
-constexpr std::chrono::milliseconds max_open_timeout{1200};
+constexpr std::chrono::milliseconds highest_open_timeout{1500};
 
 }  // namespace
 
@@ -33,7 +33,6 @@
 
   void send(callback done);
   void retry(callback done);
-  void raise_answer_limit();
 
   http::event_loop& loop;
   external::keyed_store& store;
@@ -43,7 +42,8 @@
   std::function<bool()> may_write;
   reporter report;
   std::int64_t sequence = 0;
-  std::optional<std::chrono::milliseconds> answer_limit;
+  /// Timeout of a registration; empty for an append of records.
+  std::optional<rising_timeout> open_timeout;
   std::vector<batch::topic_record> records;
   bool last_append_ok = true;
   bool stopped = false;
@@ -58,25 +58,18 @@
   });
 }
 
-/// Doubles the timeout so that a slow store can answer eventually.
-void record_writer::impl::raise_answer_limit() {
-  if (answer_limit) {
-    answer_limit = 2 * *answer_limit;
-    if (*answer_limit > max_open_timeout) {
-      answer_limit.reset();
-    }
-  }
-}
-
 void record_writer::impl::send(callback done) {
   if (!may_write()) {
     retry(std::move(done));
     return;
   }
+  external::append_options options;
+  options.writer = external::append_writer{writer, epoch, sequence};
+  if (open_timeout) {
+    options.answer_timeout = open_timeout->value();
+  }
   store.append(
-      topic, records,
-      external::append_options{external::append_writer{writer, epoch, sequence},
-                               std::nullopt, answer_limit},
+      topic, records, std::move(options),
       [self = shared_from_this(),
        done = std::move(done)](absl::StatusOr<model::offset> end) mutable {
         if (self->stopped) {
@@ -94,7 +87,9 @@
           }
           self->report.count("vanillaladder_store_append_retries_total",
                              "topic", self->topic);
-          self->raise_answer_limit();
+          if (self->open_timeout) {
+            self->open_timeout->on_unanswered();
+          }
           self->retry(std::move(done));
           return;
         }
@@ -117,14 +112,14 @@
 
 void record_writer::open(callback done) {
   impl_->records.clear();
-  impl_->answer_limit = first_open_timeout;
+  impl_->open_timeout.emplace(first_open_timeout, highest_open_timeout);
   impl_->send(std::move(done));
 }
 
 void record_writer::append(std::span<const batch::topic_record> records,
                            callback done) {
   impl_->records.assign(records.begin(), records.end());
-  impl_->answer_limit.reset();
+  impl_->open_timeout.reset();
   ++impl_->sequence;
   impl_->send(std::move(done));
 }
--- a/packages/dispatch/src/topic_follower.cc
+++ b/packages/dispatch/src/topic_follower.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dispatch/clock.h"
+#include "dispatch/rising_timeout.h"
 #include "runtime/error.h"
 
 namespace vanillaladder::dispatch {
@@ -18,6 +19,10 @@
 constexpr std::chrono::milliseconds retry_pause{150};
 /// A pause is not extended by less than this.
 constexpr std::chrono::milliseconds min_read_pause{5};
+/// Timeouts of a read beyond its wait, and of a page of a load. While the store
+/// is slow, a page for many daemons at once takes longer than the first.
+constexpr std::chrono::milliseconds first_timeout{1500};
+constexpr std::chrono::milliseconds highest_timeout{6000};
 
 }  // namespace
 
@@ -31,13 +36,14 @@
         handlers(std::move(handlers_in)),
         report(report_in) {}
 
-  void load(const std::string& after);
+  void load();
+  void load_page(const std::string& after);
   void finish_load();
   void read();
-  void defer(std::chrono::milliseconds pause, void (impl::*step)());
+  void defer(std::chrono::milliseconds pause, std::function<void()> step);
   void pause_reads();
-  void restart() { load(""); }
   void apply(const external::record_batch& batch);
+  void apply_read(const external::record_batch& batch, model::time_point sent);
   void notify_waiters();
   void on_read_failed(const absl::Status& status);
   void on_read_succeeded(model::time_point sent);
@@ -49,32 +55,44 @@
   reporter report;
   bool stopped = false;
   bool loaded = false;
+  /// Whether the pages of a load are being read. The copy lacks records until
+  /// the last one is there.
+  bool loading = false;
   bool store_reachable = true;
+  rising_timeout timeout{first_timeout, highest_timeout};
   /// Timer that ends the pause between two reads; empty while a read is in
   /// flight.
   std::optional<http::event_loop::timer_id> pause_timer;
   model::offset next = 0;
   model::offset load_end = 0;
+  model::time_point load_sent_at;
+  int pages_loaded = 0;
   std::set<std::string> keys;
   model::time_point last_read_sent_at;
   model::time_point last_read_answered_at;
+  /// The copy contains all records that the topic had at this time.
+  model::time_point current_as_of;
   std::vector<std::pair<model::offset, std::function<void()>>> waiters;
 };
 
 void topic_follower::impl::defer(std::chrono::milliseconds pause,
-                                 void (impl::*step)()) {
-  loop.call_after(pause, [self = shared_from_this(), step] {
+                                 std::function<void()> step) {
+  loop.call_after(pause, [self = shared_from_this(), step = std::move(step)] {
     if (!self->stopped) {
-      (self.get()->*step)();
+      step();
     }
   });
 }
 
 void topic_follower::impl::on_read_failed(const absl::Status& status) {
+  if (absl::IsUnknown(status)) {
+    timeout.on_unanswered();
+  }
   if (store_reachable) {
     store_reachable = false;
     report.event("follower",
                  absl::StrCat("dependency_lost topic=", options.topic,
+                              " next=", next, " loading=", loading,
                               " error=", runtime::error_message(status)));
     if (handlers.on_reachability) {
       handlers.on_reachability(false);
@@ -87,6 +105,7 @@
 void topic_follower::impl::on_read_succeeded(model::time_point sent) {
   last_read_sent_at = std::max(last_read_sent_at, sent);
   last_read_answered_at = boot_now();
+  timeout.on_answered();
   if (!store_reachable) {
     store_reachable = true;
     report.event("follower", absl::StrCat("dependency_regained topic=",
@@ -97,11 +116,16 @@
   }
 }
 
-void topic_follower::impl::load(const std::string& after) {
-  if (after.empty()) {
-    keys.clear();
-  }
-  store.read_newest(options.topic, after,
+/// Reads the newest record of each key.
+void topic_follower::impl::load() {
+  loading = true;
+  pages_loaded = 0;
+  keys.clear();
+  load_page("");
+}
+
+void topic_follower::impl::load_page(const std::string& after) {
+  store.read_newest(options.topic, after, timeout.value(),
                     [self = shared_from_this(), after, sent = boot_now()](
                         absl::StatusOr<external::newest_page> page) {
                       if (self->stopped) {
@@ -109,7 +133,12 @@
                       }
                       if (!page.ok()) {
                         self->on_read_failed(page.status());
-                        self->defer(retry_pause, &impl::restart);
+                        // Goes on with the same page: loads that begin anew at
+                        // each failure may never end, and use up the store's
+                        // rate of reads.
+                        self->defer(retry_pause, [self = self.get(), after] {
+                          self->load_page(after);
+                        });
                         return;
                       }
                       // Later pages may contain newer records. Reading on from
@@ -117,7 +146,9 @@
                       // changes.
                       if (after.empty()) {
                         self->load_end = page->end;
+                        self->load_sent_at = sent;
                       }
+                      ++self->pages_loaded;
                       self->on_read_succeeded(sent);
                       std::string last;
                       for (const auto& record : page->records) {
@@ -126,7 +157,7 @@
                         last = record.key;
                       }
                       if (page->more && !last.empty()) {
-                        self->load(last);
+                        self->load_page(last);
                       } else {
                         self->finish_load();
                       }
@@ -134,10 +165,16 @@
 }
 
 void topic_follower::impl::finish_load() {
+  auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      boot_now() - load_sent_at);
   next = load_end;
   loaded = true;
-  report.event("follower", absl::StrCat("topic_loaded topic=", options.topic,
-                                        " keys=", keys.size(), " next=", next));
+  loading = false;
+  current_as_of = std::max(current_as_of, load_sent_at);
+  report.event("follower",
+               absl::StrCat("topic_loaded topic=", options.topic,
+                            " keys=", keys.size(), " next=", next,
+                            " pages=", pages_loaded, " ms=", took.count()));
   if (handlers.on_loaded) {
     handlers.on_loaded(keys);
   }
@@ -189,35 +226,49 @@
       });
 }
 
+/// Applies the answer to a read that was sent at `sent`.
+void topic_follower::impl::apply_read(const external::record_batch& batch,
+                                      model::time_point sent) {
+  on_read_succeeded(sent);
+  apply(batch);
+  // An answer may be cut before the end of the topic.
+  if (next >= batch.end) {
+    current_as_of = std::max(current_as_of, sent);
+  }
+}
+
 void topic_follower::impl::read() {
-  store.read(options.topic, next, options.read_wait,
-             [self = shared_from_this(),
-              sent = boot_now()](absl::StatusOr<external::record_batch> batch) {
-               if (self->stopped) {
-                 return;
-               }
-               if (absl::IsOutOfRange(batch.status())) {
-                 self->report.event(
-                     "follower",
-                     absl::StrCat("history_gone topic=", self->options.topic,
-                                  " next=", self->next));
-                 self->load("");
-                 return;
-               }
-               if (!batch.ok()) {
-                 self->on_read_failed(batch.status());
-                 self->defer(retry_pause, &impl::read);
-                 return;
-               }
-               self->on_read_succeeded(sent);
-               bool found = !batch->records.empty();
-               self->apply(*batch);
-               if (found) {
-                 self->pause_reads();
-               } else {
-                 self->read();
-               }
-             });
+  // A read that follows a failure doesn't wait, so that it shows at once
+  // whether the store answers.
+  auto wait =
+      store_reachable ? options.read_wait : std::chrono::milliseconds(0);
+  store.read(
+      options.topic, next, wait, timeout.value(),
+      [self = shared_from_this(),
+       sent = boot_now()](absl::StatusOr<external::record_batch> batch) {
+        if (self->stopped) {
+          return;
+        }
+        if (absl::IsOutOfRange(batch.status())) {
+          self->report.event("follower", absl::StrCat("history_gone topic=",
+                                                      self->options.topic,
+                                                      " next=", self->next));
+          self->load();
+          return;
+        }
+        if (!batch.ok()) {
+          self->on_read_failed(batch.status());
+          self->defer(retry_pause, [self = self.get()] { self->read(); });
+          return;
+        }
+        self->apply_read(*batch, sent);
+        bool is_cut = self->next < batch->end;
+        if (batch->records.empty() || is_cut) {
+          self->read();
+        } else {
+          self->pause_reads();
+        }
+      });
 }
 
 topic_follower::topic_follower(http::event_loop& loop,
@@ -232,7 +283,11 @@
 }
 
 void topic_follower::start() {
-  impl_->restart();
+  impl_->load();
+}
+
+void topic_follower::set_read_wait(std::chrono::milliseconds wait) {
+  impl_->options.read_wait = wait;
 }
 
 void topic_follower::set_read_pause(std::chrono::milliseconds pause) {
@@ -244,19 +299,27 @@
   }
 }
 
-void topic_follower::refresh(std::function<void(bool)> done) {
+void topic_follower::refresh(std::function<void(bool)> done,
+                             std::optional<std::chrono::milliseconds> timeout) {
+  if (impl_->loading) {
+    impl_->loop.call_after(std::chrono::milliseconds(0),
+                           [done = std::move(done)] { done(false); });
+    return;
+  }
   impl_->store.read(
-      impl_->options.topic, impl_->next, std::chrono::milliseconds(0),
+      impl_->options.topic, impl_->next, std::chrono::milliseconds(0), timeout,
       [self = impl_, done = std::move(done),
        sent = boot_now()](absl::StatusOr<external::record_batch> batch) {
         if (self->stopped) {
           return;
         }
-        if (batch.ok()) {
-          self->on_read_succeeded(sent);
-          self->apply(*batch);
+        // A load that has begun meanwhile reads on from another offset.
+        if (!batch.ok() || self->loading) {
+          done(false);
+          return;
         }
-        done(batch.ok() && self->loaded);
+        self->apply_read(*batch, sent);
+        done(self->next >= batch->end);
       });
 }
 
@@ -289,6 +352,10 @@
   return impl_->last_read_sent_at;
 }
 
+model::time_point topic_follower::current_as_of() const {
+  return impl_->current_as_of;
+}
+
 model::time_point topic_follower::last_read_answered_at() const {
   return impl_->last_read_answered_at;
 }
--- a/packages/dispatch/test/fake_store.h
+++ b/packages/dispatch/test/fake_store.h
@@ -2,6 +2,10 @@
 
 #include <absl/status/status.h>
 
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "external/keyed_store.h"
@@ -38,6 +42,7 @@
   }
 
   void read(const std::string&, model::offset from, std::chrono::milliseconds,
+            std::optional<std::chrono::milliseconds>,
             read_callback done) override {
     ++reads;
     if (unresponsive) {
@@ -47,23 +52,42 @@
       loop_->post([done] { done(absl::UnknownError("reset")); });
       return;
     }
+    if (from < first_retained) {
+      loop_->post([done] { done(absl::OutOfRangeError("gone")); });
+      return;
+    }
     external::record_batch batch;
     batch.first_offset = from;
-    batch.records.assign(topic.begin() + from, topic.end());
+    batch.end = static_cast<model::offset>(topic.size());
+    auto available = topic.size() - static_cast<std::size_t>(from);
+    auto count = records_per_read == 0 ? available
+                                       : std::min(available, records_per_read);
+    batch.records.assign(
+        topic.begin() + from,
+        topic.begin() + from + static_cast<std::ptrdiff_t>(count));
     // Simulates the wait of a read that finds nothing.
     loop_->call_after(std::chrono::milliseconds(1),
                       [done, batch = std::move(batch)] { done(batch); });
   }
 
-  void read_newest(const std::string& name, const std::string&,
+  void read_newest(const std::string& name, const std::string& after,
+                   std::optional<std::chrono::milliseconds>,
                    newest_callback done) override {
+    pages_requested.push_back(after);
     if (name == unreadable_topic) {
       loop_->post([done] { done(absl::UnavailableError("busy")); });
       return;
     }
+    if (after == unreadable_after) {
+      loop_->post([done] { done(absl::UnknownError("timed out")); });
+      return;
+    }
     external::newest_page page;
     page.records = topic;
     page.end = static_cast<model::offset>(topic.size());
+    if (keys_per_page > 0) {
+      page.records = page_after(after, page.more);
+    }
     loop_->post([done, page = std::move(page)] { done(page); });
   }
 
@@ -78,11 +102,39 @@
   std::string stalled_topic;
   /// Topic whose newest records cannot be read.
   std::string unreadable_topic;
+  /// Number of keys on a page of the newest records; 0 for one page with all
+  /// records.
+  std::size_t keys_per_page = 0;
+  /// The page after this key is not answered in time.
+  std::optional<std::string> unreadable_after;
+  /// Keys after which pages were requested.
+  std::vector<std::string> pages_requested;
+  /// Records of a read, at most; 0 for all.
+  std::size_t records_per_read = 0;
+  /// Reads before this offset fail, since the records are gone.
+  model::offset first_retained = 0;
   int appends = 0;
   int reads = 0;
   std::vector<batch::topic_record> topic;
 
  private:
+  std::vector<batch::topic_record> page_after(const std::string& after,
+                                              bool& more) const {
+    std::map<std::string, std::string> newest;
+    for (const auto& record : topic) {
+      newest[record.key] = record.value;
+    }
+    std::vector<batch::topic_record> records;
+    for (auto each = newest.upper_bound(after); each != newest.end(); ++each) {
+      if (records.size() == keys_per_page) {
+        more = true;
+        break;
+      }
+      records.push_back({each->first, each->second});
+    }
+    return records;
+  }
+
   http::event_loop* loop_;
 };
 
--- a/packages/dispatch/test/topic_follower_test.cc
+++ b/packages/dispatch/test/topic_follower_test.cc
@@ -1,8 +1,10 @@
 #include "dispatch/topic_follower.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "daemon_fixture.h"
+#include "dispatch/clock.h"
 
 namespace vanillaladder::dispatch {
 namespace {
@@ -55,5 +57,77 @@
   f.run_until([&] { return f.applied == 4; });
 }
 
+/// A follower of a topic that is loaded in pages of one key.
+struct paged_fixture : daemon_fixture {
+  std::vector<std::string> applied;
+  topic_follower paged{
+      loop,
+      store,
+      {"paged", 1ms, 1ms},
+      {[this](auto key, auto) { applied.emplace_back(key); }, {}},
+      report};
+
+  paged_fixture() {
+    store.keys_per_page = 1;
+    store.topic = {{"a", "1"}, {"b", "1"}, {"c", "1"}};
+    store.unreadable_after = "b";
+    store.pages_requested.clear();
+    paged.start();
+    run_until(
+        [this] { return std::ranges::count(store.pages_requested, "b") > 2; });
+  }
+};
+
+// Guards against loads that begin anew at each lost page: they may never end,
+// and the loads of many daemons use up the rate of reads.
+TEST_CASE("a load goes on with the page that was not answered") {
+  paged_fixture f;
+  REQUIRE(std::ranges::count(f.store.pages_requested, "") == 1);
+  REQUIRE_FALSE(f.paged.loaded());
+  f.store.unreadable_after.reset();
+  f.run_until([&] { return f.paged.loaded(); });
+  REQUIRE(f.applied == std::vector<std::string>{"a", "b", "c"});
+}
+
+// Guards against decisions on a copy that lacks the records of a load that has
+// not ended.
+TEST_CASE("a copy is not current before the load has ended") {
+  paged_fixture f;
+  REQUIRE(f.paged.current_as_of() == model::time_point());
+  auto before = boot_now();
+  f.store.unreadable_after.reset();
+  f.run_until([&] { return f.paged.loaded(); });
+  f.run_until([&] { return f.paged.current_as_of() >= before; });
+  // The history of the topic goes, and with it the records on the last page.
+  auto last = f.paged.current_as_of();
+  f.store.unreadable_after = "b";
+  f.store.topic.push_back({"a", "2"});
+  f.store.topic.push_back({"a", "3"});
+  f.store.first_retained = 5;
+  f.store.pages_requested.clear();
+  f.run_until(
+      [&] { return std::ranges::count(f.store.pages_requested, "b") > 1; });
+  last = f.paged.current_as_of();
+  bool fresh = true;
+  f.paged.refresh([&](bool is_fresh) { fresh = is_fresh; });
+  f.run_until([&] { return !fresh; });
+  REQUIRE(f.paged.current_as_of() == last);
+}
+
+// Guards against an answer that is cut at its size limit and counts as the
+// whole topic.
+TEST_CASE("a copy is not current before it has reached the end of the topic") {
+  paged_fixture f;
+  f.store.unreadable_after.reset();
+  f.run_until([&] { return f.paged.loaded(); });
+  f.store.records_per_read = 1;
+  f.store.topic.push_back({"a", "2"});
+  f.store.topic.push_back({"b", "2"});
+  bool fresh = true;
+  f.paged.refresh([&](bool is_fresh) { fresh = is_fresh; });
+  f.run_until([&] { return !fresh; });
+  f.run_until([&] { return f.paged.next() == 5; });
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
--- a/packages/external/include/external/keyed_store.h
+++ b/packages/external/include/external/keyed_store.h
@@ -37,6 +37,8 @@
 struct record_batch {
   /// Offset of the first record.
   model::offset first_offset = 0;
+  /// End of the topic when the records were read; 0 if unknown.
+  model::offset end = 0;
   std::vector<batch::topic_record> records;
 };
 
@@ -74,12 +76,17 @@
 
   /// Reads records from an offset.
   /// @param wait how long to wait for a record if there is none yet.
+  /// @param timeout limit beyond the wait; the store has a default.
   virtual void read(const std::string& topic, model::offset from,
-                    std::chrono::milliseconds wait, read_callback done) = 0;
+                    std::chrono::milliseconds wait,
+                    std::optional<std::chrono::milliseconds> timeout,
+                    read_callback done) = 0;
 
   /// Reads a page of the newest records of each key.
   /// @param after key after which the page starts; empty for the first page.
+  /// @param timeout limit of the call; the store has a default.
   virtual void read_newest(const std::string& topic, const std::string& after,
+                           std::optional<std::chrono::milliseconds> timeout,
                            newest_callback done) = 0;
 };
 
