--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -105,6 +105,12 @@
   void on_stop_answered(const model::worker_id& id, const task_key& task,
                         int run, time_point now);
 
+  /// Checks whether the ground of a planned start still holds.
+  /// @return why it must not be sent, such as a cancelled job or a closed
+  ///   failure domain; empty if it may be sent.
+  std::string_view start_obstacle(const start_order& start,
+                                  time_point now) const;
+
   /// Default work budget of a plan.
   static constexpr int default_plan_units = 16000;
   /// Decides which tasks start. The caller must store the result and then call
@@ -262,6 +268,9 @@
     limit_per_worker,
   };
   static std::string_view obstacle_name(obstacle cause);
+  obstacle worker_obstacle(const worker_state& worker, const step_state& step,
+                           time_point now) const;
+  bool is_gang_whole(const step_state& step, int run, time_point now) const;
   obstacle obstacle_at(const worker_state& worker, const step_state& step,
                        const task_state& task, time_point now) const;
   void log_wait_reasons(step_state& step, const task_state& task,
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -176,13 +176,13 @@
   return ranked;
 }
 
-scheduler::obstacle scheduler::obstacle_at(const worker_state& worker,
-                                           const step_state& step,
-                                           const task_state& task,
-                                           time_point now) const {
-  ++units_spent_;
+/// @return the obstacle on the worker for each task of the step, whatever else
+///   runs there.
+scheduler::obstacle scheduler::worker_obstacle(const worker_state& worker,
+                                               const step_state& step,
+                                               time_point now) const {
   const auto& info = worker.entry.info;
-  const auto& spec = *step.spec;
+  const auto& label = step.spec->required_label;
   if (!worker.listed || !worker.reachable) {
     return obstacle::unreachable;
   }
@@ -196,11 +196,75 @@
       closed_domains_.end()) {
     return obstacle::closed_domain;
   }
-  if (!spec.required_label.empty() &&
-      std::ranges::find(worker.entry.labels, spec.required_label) ==
-          worker.entry.labels.end()) {
+  if (!label.empty() && std::ranges::find(worker.entry.labels, label) ==
+                            worker.entry.labels.end()) {
     return obstacle::label;
   }
+  // A next leader counts only on the lease that leaders order.
+  if (now < worker.lease.settled_at()) {
+    return obstacle::lease_not_settled;
+  }
+  return obstacle::none;
+}
+
+/// @return whether the members of a gang's run are all still wanted; without
+///   one of them the others would wait in vain.
+bool scheduler::is_gang_whole(const step_state& step, int run,
+                              time_point now) const {
+  return std::ranges::all_of(step.tasks, [&](const auto& task) {
+    auto member = std::ranges::find(task.runs, run, &detail::run_state::number);
+    return member != task.runs.end() && member->phase != run_phase::stopping &&
+           (member->phase == run_phase::running ||
+            worker_obstacle(*member->worker, step, now) == obstacle::none);
+  });
+}
+
+std::string_view scheduler::start_obstacle(const start_order& start,
+                                           time_point now) const {
+  const auto* worker = find_worker(start.worker);
+  if (worker == nullptr) {
+    return "run_gone";
+  }
+  auto ref = std::ranges::find_if(worker->runs, [&](const auto& each) {
+    return each.number == start.run && each.index == start.task.index &&
+           each.step->key == start.task.step;
+  });
+  if (ref == worker->runs.end()) {
+    return "run_gone";
+  }
+  const auto& step = *ref->step;
+  if (step.job->cancelled || has_ended(step.job->state)) {
+    return "job_ended";
+  }
+  if (ref->run().phase != run_phase::starting) {
+    return "run_stopped";
+  }
+  if (auto found = worker_obstacle(*worker, step, now);
+      found != obstacle::none) {
+    return obstacle_name(found);
+  }
+  // The room of the run itself is reserved; a worker that is back may have
+  // less.
+  if (!model::fits_in({}, worker->free_resources())) {
+    return obstacle_name(obstacle::no_room);
+  }
+  if (step.spec->gang && !is_gang_whole(step, start.run, now)) {
+    return "gang_broken";
+  }
+  return "";
+}
+
+scheduler::obstacle scheduler::obstacle_at(const worker_state& worker,
+                                           const step_state& step,
+                                           const task_state& task,
+                                           time_point now) const {
+  ++units_spent_;
+  if (auto found = worker_obstacle(worker, step, now);
+      found != obstacle::none) {
+    return found;
+  }
+  const auto& info = worker.entry.info;
+  const auto& spec = *step.spec;
   auto need = spec.required_resources;
   if (spec.best_effort) {
     if (worker.pace.latency_ratio() > max_latency_ratio_to_start &&
@@ -216,10 +280,6 @@
   if (!model::fits_in(need, worker.free_resources())) {
     return obstacle::no_room;
   }
-  // A next leader counts only on the lease that leaders order.
-  if (now < worker.lease.settled_at()) {
-    return obstacle::lease_not_settled;
-  }
   bool has_just_failed_there = info.id == task.last_failed_worker &&
                                now < task.last_failed_at + failed_worker_pause;
   if (!worker.trust.may_start(now, count_finite_runs(worker)) ||
--- a/packages/dispatch/include/dispatch/worker_links.h
+++ b/packages/dispatch/include/dispatch/worker_links.h
@@ -40,6 +40,14 @@
   std::chrono::milliseconds unreachable_pause{400};
 };
 
+/// What the leader may send; asked again whenever a call is written.
+struct link_permissions {
+  /// Returns whether orders may be sent now.
+  std::function<bool()> may_order;
+  /// Returns whether tasks may start now.
+  std::function<bool()> may_start;
+};
+
 /// The leader's communication with all workers: reports, leases and orders.
 class worker_links {
  public:
@@ -51,10 +59,9 @@
   };
 
   /// @param token fencing token of this leader.
-  /// @param may_order returns whether orders may be sent now.
   worker_links(http::event_loop& loop, external::worker_gateway& gateway,
                batch::scheduler& scheduler, model::epoch token,
-               const link_options& options, std::function<bool()> may_order,
+               const link_options& options, link_permissions permissions,
                listener handlers, reporter report);
   ~worker_links();
   worker_links(const worker_links&) = delete;
@@ -65,7 +72,8 @@
   /// Requests the reports that were delayed until reported ends are stored.
   /// Must be called whenever ends have been stored.
   void on_ends_stored();
-  /// Sends an order. A stop is retried until it is answered.
+  /// Sends an order. A stop is retried until it is answered. A start is held
+  /// while none may be sent, and dropped once its ground no longer holds.
   void send(const batch::order& order);
 
  private:
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -275,7 +275,8 @@
                    workers.size(), " took_ms=", since_start().count()));
   progress_records.clear();
   links = std::make_unique<worker_links>(
-      context.loop, *gateway, scheduler, epoch, options.links, context.may_act,
+      context.loop, *gateway, scheduler, epoch, options.links,
+      link_permissions{context.may_act, [] { return true; }},
       worker_links::listener{[this] { request_plan(); },
                              [this] { on_superseded("worker"); }},
       context.report);
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -3,6 +3,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 
+#include <deque>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -45,9 +46,16 @@
   return "unknown";
 }
 
-/// Reports requested in one event-loop turn after ends have been stored.
+/// Reports requested in one event-loop turn after ends have been stored, and
+/// held starts sent in one.
 constexpr std::size_t max_requests_per_turn = 32;
 
+struct held_start {
+  batch::start_order order;
+  int attempt = 1;
+  bool maybe_sent = false;
+};
+
 struct link {
   batch::worker_entry entry;
   bool report_in_flight = false;
@@ -64,14 +72,15 @@
 struct worker_links::impl : std::enable_shared_from_this<worker_links::impl> {
   impl(http::event_loop& loop_in, external::worker_gateway& gateway_in,
        batch::scheduler& scheduler_in, model::epoch token_in,
-       const link_options& options_in, std::function<bool()> may_order_in,
+       const link_options& options_in, link_permissions permissions_in,
        listener handlers_in, reporter report_in)
       : loop(loop_in),
         gateway(gateway_in),
         scheduler(scheduler_in),
         token(token_in),
         options(options_in),
-        may_order(std::move(may_order_in)),
+        may_order(std::move(permissions_in.may_order)),
+        may_start(std::move(permissions_in.may_start)),
         handlers(std::move(handlers_in)),
         report(report_in),
         report_timer(report, "take_report") {}
@@ -87,6 +96,11 @@
 
   void send_start(const batch::start_order& order, int attempt,
                   bool maybe_sent);
+  void hold_start(const batch::start_order& order, int attempt,
+                  bool maybe_sent);
+  void send_held_starts();
+  void drop_start(const batch::start_order& order, bool maybe_sent,
+                  std::string_view why);
   void send_stop(const batch::stop_order& order);
   void send_pace(const batch::pace_order& order);
   void defer(std::chrono::milliseconds pause, std::function<void()> step);
@@ -99,6 +113,7 @@
   model::epoch token;
   link_options options;
   std::function<bool()> may_order;
+  std::function<bool()> may_start;
   listener handlers;
   reporter report;
   work_timer report_timer;
@@ -106,6 +121,8 @@
   /// Workers whose next report is delayed until their ends are stored.
   std::vector<model::worker_id> delayed_reports;
   bool is_requesting_delayed = false;
+  /// Starts that wait until they may be sent.
+  std::deque<held_start> held_starts;
   bool stopped = false;
 };
 
@@ -270,21 +287,25 @@
                                     int attempt, bool maybe_sent) {
   auto found = links.find(order.worker);
   if (found == links.end()) {
-    scheduler.on_start_result(order.worker, order.task, order.run,
-                              maybe_sent ? batch::start_outcome::unknown
-                                         : batch::start_outcome::not_run,
-                              boot_now());
-    handlers.on_change();
+    drop_start(order, maybe_sent, "no_link");
     return;
   }
-  if (!may_order()) {
-    defer(options.retry_pause, [this, order, attempt, maybe_sent] {
-      send_start(order, attempt, maybe_sent);
-    });
+  // The order may have waited for long since it was planned, for an append or
+  // for permission.
+  if (auto why = scheduler.start_obstacle(order, boot_now()); !why.empty()) {
+    drop_start(order, maybe_sent, why);
+    return;
+  }
+  if (!may_order() || !may_start()) {
+    hold_start(order, attempt, maybe_sent);
     return;
   }
   external::start_permit start{
       permit(), extend_lease(order.worker, options.answer_limit)};
+  start.call.may_send = [self = shared_from_this(), order] {
+    return !self->stopped && self->may_order() && self->may_start() &&
+           self->scheduler.start_obstacle(order, boot_now()).empty();
+  };
   gateway.start(
       found->second.entry.info, order, start, options.answer_limit,
       [self = shared_from_this(), order, attempt,
@@ -346,6 +367,48 @@
       });
 }
 
+void worker_links::impl::hold_start(const batch::start_order& order,
+                                    int attempt, bool maybe_sent) {
+  held_starts.push_back({order, attempt, maybe_sent});
+  if (held_starts.size() == 1) {
+    defer(options.retry_pause, [this] { send_held_starts(); });
+  }
+}
+
+/// Sends the held starts once this is permitted, some in each event-loop turn.
+void worker_links::impl::send_held_starts() {
+  bool is_permitted = may_order() && may_start();
+  std::vector<held_start> ready;
+  while (is_permitted && !held_starts.empty() &&
+         ready.size() < max_requests_per_turn) {
+    ready.push_back(std::move(held_starts.front()));
+    held_starts.pop_front();
+  }
+  if (!held_starts.empty()) {
+    defer(is_permitted ? std::chrono::milliseconds(0) : options.retry_pause,
+          [this] { send_held_starts(); });
+  }
+  for (const auto& each : ready) {
+    send_start(each.order, each.attempt, each.maybe_sent);
+  }
+}
+
+/// Gives up a start that was not sent, or not sent again.
+void worker_links::impl::drop_start(const batch::start_order& order,
+                                    bool maybe_sent, std::string_view why) {
+  report.count("vanillaladder_starts_dropped_total", "reason", why);
+  report.routine(
+      "links",
+      absl::StrCat("start_dropped task=", batch::to_string(order.task),
+                   " run=", order.run, " worker=", order.worker,
+                   " why=", std::string(why), " maybe_sent=", maybe_sent));
+  scheduler.on_start_result(order.worker, order.task, order.run,
+                            maybe_sent ? batch::start_outcome::unknown
+                                       : batch::start_outcome::not_run,
+                            boot_now());
+  handlers.on_change();
+}
+
 void worker_links::impl::send_stop(const batch::stop_order& order) {
   auto found = links.find(order.worker);
   if (found == links.end() && !scheduler.needs_contact(order.worker)) {
@@ -402,10 +465,10 @@
                            external::worker_gateway& gateway,
                            batch::scheduler& scheduler, model::epoch token,
                            const link_options& options,
-                           std::function<bool()> may_order, listener handlers,
+                           link_permissions permissions, listener handlers,
                            reporter report)
     : impl_(std::make_shared<impl>(loop, gateway, scheduler, token, options,
-                                   std::move(may_order), std::move(handlers),
+                                   std::move(permissions), std::move(handlers),
                                    report)) {}
 
 worker_links::~worker_links() {
--- a/packages/dispatch/test/silent_gateway.h
+++ b/packages/dispatch/test/silent_gateway.h
@@ -15,6 +15,8 @@
   bool answers_reports = false;
   /// The last report request.
   external::report_request report_request;
+  /// Permission of the last start.
+  external::call_permit start_permit;
   /// Permission of the last stop.
   external::call_permit stop_permit;
 };
@@ -37,8 +39,9 @@
     }
   }
   void start(const model::worker_info&, const batch::start_order&,
-             const external::start_permit&, std::chrono::milliseconds,
+             const external::start_permit& permit, std::chrono::milliseconds,
              order_callback) override {
+    calls->start_permit = permit.call;
     ++calls->starts;
   }
   void stop(const model::worker_info&, const batch::stop_order&,
--- a/packages/dispatch/test/worker_links_test.cc
+++ b/packages/dispatch/test/worker_links_test.cc
@@ -9,6 +9,8 @@
 namespace vanillaladder::dispatch {
 namespace {
 
+const link_permissions always{[] { return true; }, [] { return true; }};
+
 // Guards against runs of cancelled jobs that are never stopped: a new leader
 // orders the stops before it has linked all workers.
 TEST_CASE("a stop order waits until its worker is linked") {
@@ -16,9 +18,8 @@
   gateway_calls calls;
   silent_gateway gateway(calls);
   batch::scheduler scheduler({}, boot_now(), [](const std::string&) {});
-  worker_links links(
-      f.loop, gateway, scheduler, 1, {}, [] { return true; }, {[] {}, [] {}},
-      f.report);
+  worker_links links(f.loop, gateway, scheduler, 1, {}, always, {[] {}, [] {}},
+                     f.report);
   batch::worker_entry entry;
   entry.info.id = "w";
   entry.info.address = "10.0.0.1";
@@ -39,9 +40,9 @@
   silent_gateway gateway(calls);
   batch::scheduler scheduler({}, boot_now(), [](const std::string&) {});
   bool leads = true;
-  worker_links links(
-      f.loop, gateway, scheduler, 7, {}, [&] { return leads; }, {[] {}, [] {}},
-      f.report);
+  worker_links links(f.loop, gateway, scheduler, 7, {},
+                     {[&] { return leads; }, [] { return true; }},
+                     {[] {}, [] {}}, f.report);
   batch::worker_entry entry;
   entry.info.id = "w";
   entry.info.address = "10.0.0.1";
@@ -83,9 +84,8 @@
   link_options options;
   options.report_pause = 1ms;
   options.unstored_ends_pause = std::chrono::minutes(1);
-  worker_links links(
-      f.loop, gateway, scheduler, 7, options, [] { return true; },
-      {[] {}, [] {}}, f.report);
+  worker_links links(f.loop, gateway, scheduler, 7, options, always,
+                     {[] {}, [] {}}, f.report);
   batch::worker_entry entry;
   entry.info.id = "w";
   entry.info.address = "10.0.0.1";
@@ -117,9 +117,8 @@
   batch::scheduler scheduler({}, boot_now(), [](const std::string&) {});
   link_options options;
   options.unstored_ends_pause = 5ms;
-  worker_links links(
-      f.loop, gateway, scheduler, 7, options, [] { return true; },
-      {[] {}, [] {}}, f.report);
+  worker_links links(f.loop, gateway, scheduler, 7, options, always,
+                     {[] {}, [] {}}, f.report);
   batch::worker_entry entry;
   entry.info.id = "w";
   entry.info.address = "10.0.0.1";
@@ -141,9 +140,8 @@
   batch::scheduler scheduler({}, boot_now(), [](const std::string&) {});
   link_options options;
   options.report_pause = 1ms;
-  worker_links links(
-      f.loop, gateway, scheduler, 7, options, [] { return true; },
-      {[] {}, [] {}}, f.report);
+  worker_links links(f.loop, gateway, scheduler, 7, options, always,
+                     {[] {}, [] {}}, f.report);
   batch::worker_entry entry;
   entry.info.id = "w";
   entry.info.address = "10.0.0.1";
@@ -168,5 +166,85 @@
   REQUIRE(calls.report_request.stored_end == 0);
 }
 
+/// Links to one worker, with a start that was planned for it.
+struct start_fixture : daemon_fixture {
+  gateway_calls calls;
+  silent_gateway gateway{calls};
+  batch::scheduler scheduler{{}, boot_now(), [](const std::string&) {}};
+  bool may_start = false;
+  link_options options{.retry_pause = std::chrono::milliseconds(1)};
+  worker_links links{
+      loop,           gateway,
+      scheduler,      7,
+      options,        {[] { return true; }, [this] { return may_start; }},
+      {[] {}, [] {}}, report};
+  batch::commit planned;
+
+  start_fixture() {
+    calls.answers_reports = true;
+    batch::worker_entry entry;
+    entry.info.id = "w";
+    entry.info.address = "10.0.0.1";
+    entry.info.port = 8000;
+    entry.info.domain = "d";
+    entry.info.capacity = {32000, 64000, 0};
+    entry.service = "svc";
+    scheduler.update_worker(entry, boot_now());
+    links.update(entry);
+    auto job = std::make_shared<batch::job_spec>();
+    job->id = "job";
+    job->queue = "queue";
+    job->policy.service = "svc";
+    job->steps.push_back({.count = 1, .required_resources = {1000, 100, 0}});
+    scheduler.add_job(job, boot_now(), wall_now());
+    planned = scheduler.plan(boot_now(), wall_now());
+    REQUIRE(planned.orders.size() == 1);
+    scheduler.on_progress_committed();
+    links.send(planned.orders.front());
+  }
+  void wait(std::chrono::milliseconds time) {
+    bool elapsed = false;
+    loop.call_after(time, [&] { elapsed = true; });
+    run_until([&] { return elapsed; });
+  }
+};
+
+// Guards against starts that rest on an old copy of the topics.
+TEST_CASE("a start waits until tasks may start") {
+  start_fixture f;
+  f.wait(std::chrono::milliseconds(20));
+  REQUIRE(f.calls.starts == 0);
+  f.may_start = true;
+  f.run_until([&] { return f.calls.starts == 1; });
+  REQUIRE(f.calls.start_permit.may_send());
+  f.may_start = false;
+  REQUIRE_FALSE(f.calls.start_permit.may_send());
+}
+
+// Guards against a start that leaves as it was planned although its job was
+// cancelled or its failure domain closed while it waited.
+TEST_CASE("a start whose ground is gone while it waits is not sent") {
+  bool is_cancelled = GENERATE(true, false);
+  start_fixture f;
+  if (is_cancelled) {
+    f.scheduler.cancel_job("job", boot_now());
+  } else {
+    f.scheduler.set_closed_domains({"d"});
+  }
+  f.may_start = true;
+  f.wait(std::chrono::milliseconds(50));
+  REQUIRE(f.calls.starts == 0);
+}
+
+// The same for a start that waits for a connection.
+TEST_CASE("a start whose ground is gone before it is written is not sent") {
+  start_fixture f;
+  f.may_start = true;
+  f.run_until([&] { return f.calls.starts == 1; });
+  REQUIRE(f.calls.start_permit.may_send());
+  f.scheduler.cancel_job("job", boot_now());
+  REQUIRE_FALSE(f.calls.start_permit.may_send());
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
