--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -105,6 +105,9 @@
   void on_stop_answered(const model::worker_id& id, const task_key& task,
                         int run, time_point now);
 
+  /// Sets whether starts are held. While they are, no task is placed, and no
+  /// run is stopped in order to continue elsewhere.
+  void hold_starts(bool hold) { starts_held_ = hold; }
   /// Checks whether the ground of a planned start still holds.
   /// @return why it must not be sent, such as a cancelled job or a closed
   ///   failure domain; empty if it may be sent.
@@ -302,6 +305,7 @@
   std::vector<topic_record> job_removals_;
   std::vector<topic_record> progress_removals_;
   bool has_changes_ = true;
+  bool starts_held_ = false;
   /// Work budget of the current plan, and how much of it is used.
   int unit_limit_ = 0;
   mutable int units_spent_ = 0;
--- a/packages/batch/src/scheduler_best_effort.cc
+++ b/packages/batch/src/scheduler_best_effort.cc
@@ -224,7 +224,7 @@
         run.ordered_percent, " pressure=", run.worker->pace.latency_ratio()));
   }
   bool can_move = step.spec->checkpoints || run.progress <= max_move_progress;
-  if (now - *run.throttled_since < move_delay || !can_move ||
+  if (starts_held_ || now - *run.throttled_since < move_delay || !can_move ||
       !finishes_sooner_elsewhere(step, run)) {
     return;
   }
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -578,6 +578,10 @@
 }
 
 void scheduler::place(time_point now, std::vector<order>& orders) {
+  if (starts_held_) {
+    budget_exhausted_ = false;
+    return;
+  }
   if (!budget_exhausted_) {
     ++round_;
   }
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -317,7 +317,8 @@
   run.progress = progress;
   auto limit = std::max(stall_timeout,
                         stall_factor * step.spec->estimated_run_time / 100);
-  if (report.clock - *run.progressed_at > limit) {
+  // While starts are held, the task could not continue elsewhere.
+  if (!starts_held_ && report.clock - *run.progressed_at > limit) {
     run.worker->trust.on_refused(report.received_at);
     order_stop(step, index, run, "stands_still", report.received_at);
   }
--- a/packages/batch/test/scheduler_starts_test.cc
+++ b/packages/batch/test/scheduler_starts_test.cc
@@ -126,4 +126,29 @@
   }
 }
 
+// Guards against a leader that places tasks, or stops runs in order to move
+// them, while it can't know whether they may start.
+TEST_CASE("while starts are held nothing is placed and what runs goes on") {
+  scheduler_fixture f;
+  f.add_worker("w1", {1000, 4000, 0});
+  f.add_worker("w2", {1000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  REQUIRE(f.running() == 1);
+  f.tested_scheduler().hold_starts(true);
+  f.add_job("b", {scheduler_fixture::step(1, 1000)});
+  // Longer than a run may stand still.
+  for (int n = 0; n < 50; ++n) {
+    f.advance_time(100ms);
+    f.report_all();
+    f.plan();
+  }
+  CHECK(f.running() == 1);
+  CHECK_FALSE(f.logged("run_stop"));
+  CHECK_FALSE(f.tested_scheduler().is_budget_exhausted());
+  f.tested_scheduler().hold_starts(false);
+  f.plan();
+  CHECK(f.workers_running("b.0.0.0").size() == 1);
+}
+
 }  // namespace vanillaladder::batch
--- a/packages/dispatch/include/dispatch/leader.h
+++ b/packages/dispatch/include/dispatch/leader.h
@@ -11,6 +11,7 @@
 #include "dispatch/fleet_config.h"
 #include "dispatch/record_writer.h"
 #include "dispatch/reporter.h"
+#include "dispatch/start_gate.h"
 #include "dispatch/topic_follower.h"
 #include "dispatch/worker_links.h"
 #include "external/keyed_store.h"
@@ -40,6 +41,8 @@
   reporter report;
   /// Returns whether orders and appends may be sent now.
   std::function<bool()> may_act;
+  /// Decides whether tasks may start.
+  start_gate& starts;
   /// Called when a leader with a higher epoch exists; the callee must destroy
   /// this leader.
   std::function<void(std::string_view noticed_by)> on_superseded;
--- a/packages/dispatch/include/dispatch/scheduling_daemon.h
+++ b/packages/dispatch/include/dispatch/scheduling_daemon.h
@@ -14,6 +14,7 @@
 #include "dispatch/leadership.h"
 #include "dispatch/reporter.h"
 #include "dispatch/settings.h"
+#include "dispatch/start_gate.h"
 #include "dispatch/topic_follower.h"
 #include "external/keyed_store.h"
 #include "external/worker_gateway.h"
@@ -53,6 +54,7 @@
   bool can_lead() const;
   void start_leader(model::epoch epoch);
   void stop_leader();
+  void set_read_wait(std::chrono::milliseconds wait);
 
   http::event_loop& loop_;
   daemon_settings settings_;
@@ -68,6 +70,7 @@
   topic_follower jobs_follower_;
   topic_follower operator_follower_;
   topic_follower worker_follower_;
+  start_gate starts_;
   job_service service_;
   leadership leadership_;
   std::unique_ptr<leader> leader_;
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -276,7 +276,8 @@
   progress_records.clear();
   links = std::make_unique<worker_links>(
       context.loop, *gateway, scheduler, epoch, options.links,
-      link_permissions{context.may_act, [] { return true; }},
+      link_permissions{context.may_act,
+                       [this] { return context.starts.is_open(boot_now()); }},
       worker_links::listener{[this] { request_plan(); },
                              [this] { on_superseded("worker"); }},
       context.report);
@@ -347,6 +348,7 @@
 batch::commit leader::impl::make_plan() {
   auto timing = plan_timer.begin();
   auto now = boot_now();
+  scheduler.hold_starts(!context.starts.is_open(now));
   auto commit = scheduler.plan(now, wall_now(), budget.units());
   budget.observe(scheduler.units_spent(), boot_now() - now);
   return commit;
@@ -420,6 +422,12 @@
     return;
   }
   progress_in_flight = true;
+  if (!commit.orders.empty()) {
+    context.report.routine("leader",
+                           absl::StrCat("starts_planned plan=", commit.plan,
+                                        " starts=", commit.orders.size(),
+                                        context.starts.ages(boot_now())));
+  }
   progress_writer.append(
       commit.progress,
       [self = shared_from_this(), orders = std::move(commit.orders)](
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -22,6 +22,19 @@
 constexpr std::chrono::milliseconds follower_workers_pause{2000};
 constexpr std::chrono::milliseconds leader_workers_pause{250};
 constexpr std::chrono::milliseconds read_wait{1000};
+/// A read that waits shows the topic as of its sending, so the leader's wait is
+/// a part of the age of its copies.
+constexpr std::chrono::milliseconds leader_read_wait{500};
+
+// Ages of the leader's copies above which nothing starts. A cancel holds 3 s
+// after its confirmation and a domain is empty of new work 5 s after its
+// closing; a configuration is in force, and a leaving worker gets no more work,
+// after 2 s. An order that is sent reaches its worker within 0.5 s.
+constexpr std::chrono::milliseconds max_jobs_age{2500};
+constexpr std::chrono::milliseconds max_operator_age{1500};
+constexpr std::chrono::milliseconds max_workers_age{1500};
+/// Timeout of an additional read of a copy that grows old.
+constexpr std::chrono::milliseconds refresh_timeout{500};
 
 /// Additional time for which an earlier leader may send orders after a
 /// takeover, beyond the lease that its last order may have granted.
@@ -39,6 +52,16 @@
       static_cast<double>(lease.count()) / batch::lease_bound::min_clock_rate));
 }
 
+watched_copy watch(topic_follower& follower, std::string topic,
+                   std::chrono::milliseconds max_age) {
+  return {std::move(topic), max_age,
+          [&follower] { return follower.current_as_of(); },
+          [&follower](std::function<void()> done) {
+            follower.refresh([done = std::move(done)](bool) { done(); },
+                             refresh_timeout);
+          }};
+}
+
 leadership_options leadership_options_of(const daemon_settings& settings) {
   leadership_options options;
   // A restarted process must have a different id than its predecessor.
@@ -80,6 +103,12 @@
           {[this](auto key, auto value) { apply_worker(key, value); },
            [this](const auto& keys) { retain_workers(keys); }},
           report),
+      starts_(
+          {watch(jobs_follower_, std::string(batch::jobs_topic), max_jobs_age),
+           watch(operator_follower_, decoder.operator_topic(),
+                 max_operator_age),
+           watch(worker_follower_, decoder.worker_topic(), max_workers_age)},
+          report),
       service_(
           loop, store, jobs_, config_, jobs_follower_,
           [this](auto key, auto value) { apply_job(key, value); }, report),
@@ -258,11 +287,13 @@
                          jobs_follower_,
                          report_,
                          [this] { return leadership_.valid(); },
+                         starts_,
                          [this](std::string_view noticed_by) {
                            leadership_.on_superseded(noticed_by);
                          }};
   jobs_follower_.set_read_pause(leader_jobs_pause);
   worker_follower_.set_read_pause(leader_workers_pause);
+  set_read_wait(leader_read_wait);
   leader_ = std::make_unique<leader>(std::move(context), options,
                                      make_gateway_(), epoch);
   for (const auto& [id, entry] : workers_) {
@@ -280,6 +311,14 @@
   leader_.reset();
   jobs_follower_.set_read_pause(follower_jobs_pause);
   worker_follower_.set_read_pause(follower_workers_pause);
+  set_read_wait(read_wait);
+}
+
+void scheduling_daemon::set_read_wait(std::chrono::milliseconds wait) {
+  for (auto* follower :
+       {&jobs_follower_, &operator_follower_, &worker_follower_}) {
+    follower->set_read_wait(wait);
+  }
 }
 
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/test/leader_test.cc
+++ b/packages/dispatch/test/leader_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "daemon_fixture.h"
+#include "dispatch/clock.h"
 #include "silent_gateway.h"
 
 namespace vanillaladder::dispatch {
@@ -15,6 +16,7 @@
   constexpr int workers = 2000;
   daemon_fixture f;
   gateway_calls calls;
+  start_gate starts({}, f.report);
   leader_context context{f.loop,
                          f.store,
                          f.jobs,
@@ -22,6 +24,7 @@
                          f.follower,
                          f.report,
                          [] { return true; },
+                         starts,
                          [](std::string_view) {}};
   leader lead(std::move(context), {}, std::make_unique<silent_gateway>(calls),
               1);
@@ -52,6 +55,7 @@
   daemon_fixture f;
   gateway_calls calls;
   calls.answers_reports = true;
+  start_gate starts({}, f.report);
   leader_context context{f.loop,
                          f.store,
                          f.jobs,
@@ -59,6 +63,7 @@
                          f.follower,
                          f.report,
                          [] { return true; },
+                         starts,
                          [](std::string_view) {}};
   leader lead(std::move(context), {}, std::make_unique<silent_gateway>(calls),
               1);
@@ -84,5 +89,49 @@
   }
 }
 
+// Guards against a leader whose lease is valid, but whose copies of the topics
+// are old: the lease rests on appends, which may be answered while reads are
+// not.
+TEST_CASE("a leader starts nothing while its copies of the topics are old") {
+  daemon_fixture f;
+  gateway_calls calls;
+  calls.answers_reports = true;
+  bool is_current = false;
+  start_gate starts(
+      {{"jobs", std::chrono::seconds(1),
+        [&] { return is_current ? boot_now() : model::time_point(); },
+        [](const std::function<void()>& done) { done(); }}},
+      f.report);
+  leader_context context{f.loop,
+                         f.store,
+                         f.jobs,
+                         f.config,
+                         f.follower,
+                         f.report,
+                         [] { return true; },
+                         starts,
+                         [](std::string_view) {}};
+  batch::job_spec spec;
+  spec.id = std::string("job");
+  spec.queue = "queue";
+  spec.policy.service = "svc";
+  spec.steps.push_back({.count = 1, .required_resources = {1000, 100, 0}});
+  f.jobs.apply("j/" + spec.id, encode(spec));
+  leader lead(std::move(context), {}, std::make_unique<silent_gateway>(calls),
+              1);
+  batch::worker_entry entry;
+  entry.info.id = "w";
+  entry.info.address = "10.0.0.1";
+  entry.info.port = 8000;
+  entry.info.capacity = {32000, 64000, 0};
+  entry.service = "svc";
+  lead.on_worker(entry);
+  lead.start();
+  f.run_until([&] { return calls.reports > 20; });
+  REQUIRE(calls.starts == 0);
+  is_current = true;
+  f.run_until([&] { return calls.starts == 1; });
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
