--- a/packages/dispatch/src/topic_follower.cc
+++ b/packages/dispatch/src/topic_follower.cc
@@ -19,10 +19,10 @@
 constexpr std::chrono::milliseconds retry_pause{150};
 /// A pause is not extended by less than this.
 constexpr std::chrono::milliseconds min_read_pause{5};
-/// Timeouts of a read beyond its wait, and of a page of a load. While the store
-/// is slow, a page for many daemons at once takes longer than the first.
-constexpr std::chrono::milliseconds first_timeout{1500};
-constexpr std::chrono::milliseconds highest_timeout{6000};
+/// Timeouts of a page of a load. While the store is slow, a page for many
+/// daemons at once takes longer than the first.
+constexpr std::chrono::milliseconds first_page_timeout{1500};
+constexpr std::chrono::milliseconds highest_page_timeout{3000};
 
 }  // namespace
 
@@ -45,6 +45,7 @@
   void apply(const external::record_batch& batch);
   void apply_read(const external::record_batch& batch, model::time_point sent);
   void notify_waiters();
+  void on_history_gone();
   void on_read_failed(const absl::Status& status);
   void on_read_succeeded(model::time_point sent);
 
@@ -59,7 +60,9 @@
   /// the last one is there.
   bool loading = false;
   bool store_reachable = true;
-  rising_timeout timeout{first_timeout, highest_timeout};
+  rising_timeout page_timeout{first_page_timeout, highest_page_timeout};
+  /// Number of the last load. Reads sent before it are of no use.
+  int load_number = 0;
   /// Timer that ends the pause between two reads; empty while a read is in
   /// flight.
   std::optional<http::event_loop::timer_id> pause_timer;
@@ -85,9 +88,6 @@
 }
 
 void topic_follower::impl::on_read_failed(const absl::Status& status) {
-  if (absl::IsUnknown(status)) {
-    timeout.on_unanswered();
-  }
   if (store_reachable) {
     store_reachable = false;
     report.event("follower",
@@ -105,7 +105,6 @@
 void topic_follower::impl::on_read_succeeded(model::time_point sent) {
   last_read_sent_at = std::max(last_read_sent_at, sent);
   last_read_answered_at = boot_now();
-  timeout.on_answered();
   if (!store_reachable) {
     store_reachable = true;
     report.event("follower", absl::StrCat("dependency_regained topic=",
@@ -119,13 +118,14 @@
 /// Reads the newest record of each key.
 void topic_follower::impl::load() {
   loading = true;
+  ++load_number;
   pages_loaded = 0;
   keys.clear();
   load_page("");
 }
 
 void topic_follower::impl::load_page(const std::string& after) {
-  store.read_newest(options.topic, after, timeout.value(),
+  store.read_newest(options.topic, after, page_timeout.value(),
                     [self = shared_from_this(), after, sent = boot_now()](
                         absl::StatusOr<external::newest_page> page) {
                       if (self->stopped) {
@@ -133,6 +133,9 @@
                       }
                       if (!page.ok()) {
                         self->on_read_failed(page.status());
+                        if (absl::IsUnknown(page.status())) {
+                          self->page_timeout.on_unanswered();
+                        }
                         // Goes on with the same page: loads that begin anew at
                         // each failure may never end, and use up the store's
                         // rate of reads.
@@ -149,6 +152,7 @@
                         self->load_sent_at = sent;
                       }
                       ++self->pages_loaded;
+                      self->page_timeout.on_answered();
                       self->on_read_succeeded(sent);
                       std::string last;
                       for (const auto& record : page->records) {
@@ -242,33 +246,42 @@
   // whether the store answers.
   auto wait =
       store_reachable ? options.read_wait : std::chrono::milliseconds(0);
-  store.read(
-      options.topic, next, wait, timeout.value(),
-      [self = shared_from_this(),
-       sent = boot_now()](absl::StatusOr<external::record_batch> batch) {
-        if (self->stopped) {
-          return;
-        }
-        if (absl::IsOutOfRange(batch.status())) {
-          self->report.event("follower", absl::StrCat("history_gone topic=",
-                                                      self->options.topic,
-                                                      " next=", self->next));
-          self->load();
-          return;
-        }
-        if (!batch.ok()) {
-          self->on_read_failed(batch.status());
-          self->defer(retry_pause, [self = self.get()] { self->read(); });
-          return;
-        }
-        self->apply_read(*batch, sent);
-        bool is_cut = self->next < batch->end;
-        if (batch->records.empty() || is_cut) {
-          self->read();
-        } else {
-          self->pause_reads();
-        }
-      });
+  store.read(options.topic, next, wait, std::nullopt,
+             [self = shared_from_this(), number = load_number,
+              sent = boot_now()](absl::StatusOr<external::record_batch> batch) {
+               if (self->stopped || number != self->load_number) {
+                 return;
+               }
+               if (absl::IsOutOfRange(batch.status())) {
+                 self->on_history_gone();
+                 return;
+               }
+               if (!batch.ok()) {
+                 self->on_read_failed(batch.status());
+                 self->defer(retry_pause, [self = self.get(), number] {
+                   if (number == self->load_number) {
+                     self->read();
+                   }
+                 });
+                 return;
+               }
+               self->apply_read(*batch, sent);
+               bool is_cut = self->next < batch->end;
+               if (batch->records.empty() || is_cut) {
+                 self->read();
+               } else {
+                 self->pause_reads();
+               }
+             });
+}
+
+void topic_follower::impl::on_history_gone() {
+  report.event("follower", absl::StrCat("history_gone topic=", options.topic,
+                                        " next=", next));
+  if (auto timer = std::exchange(pause_timer, std::nullopt)) {
+    loop.cancel(*timer);
+  }
+  load();
 }
 
 topic_follower::topic_follower(http::event_loop& loop,
@@ -308,13 +321,21 @@
   }
   impl_->store.read(
       impl_->options.topic, impl_->next, std::chrono::milliseconds(0), timeout,
-      [self = impl_, done = std::move(done),
+      [self = impl_, done = std::move(done), number = impl_->load_number,
        sent = boot_now()](absl::StatusOr<external::record_batch> batch) {
         if (self->stopped) {
           return;
         }
         // A load that has begun meanwhile reads on from another offset.
-        if (!batch.ok() || self->loading) {
+        if (number != self->load_number) {
+          done(false);
+          return;
+        }
+        if (absl::IsOutOfRange(batch.status())) {
+          // The regular read may hang on a silent connection.
+          self->on_history_gone();
+        }
+        if (!batch.ok()) {
           done(false);
           return;
         }
--- a/packages/dispatch/test/topic_follower_test.cc
+++ b/packages/dispatch/test/topic_follower_test.cc
@@ -121,12 +121,33 @@
   f.store.unreadable_after.reset();
   f.run_until([&] { return f.paged.loaded(); });
   f.store.records_per_read = 1;
+  auto added_at = boot_now();
   f.store.topic.push_back({"a", "2"});
   f.store.topic.push_back({"b", "2"});
   bool fresh = true;
-  f.paged.refresh([&](bool is_fresh) { fresh = is_fresh; });
+  f.paged.refresh([&](bool is_fresh) {
+    fresh = is_fresh;
+    // Until the next answer the copy lacks a record.
+    CHECK((f.paged.next() == 5 || f.paged.current_as_of() <= added_at));
+  });
   f.run_until([&] { return !fresh; });
   f.run_until([&] { return f.paged.next() == 5; });
+  f.run_until([&] { return f.paged.current_as_of() > added_at; });
+}
+
+// Guards against a load that waits for a read on a silent connection, although
+// another read has shown that the history is gone.
+TEST_CASE("a refresh that finds the history gone begins a load") {
+  fixture f;
+  f.add_record();
+  f.add_record();
+  auto end = static_cast<model::offset>(f.store.topic.size());
+  f.store.first_retained = end;
+  // The regular read comes only after its pause of a minute.
+  bool fresh = true;
+  f.slow.refresh([&](bool is_fresh) { fresh = is_fresh; });
+  f.run_until([&] { return !fresh; });
+  f.run_until([&] { return f.slow.next() == end; });
 }
 
 }  // namespace
