--- a/packages/dispatch/include/dispatch/start_gate.h
+++ b/packages/dispatch/include/dispatch/start_gate.h
@@ -30,6 +30,10 @@
 /// failure domain or a leaving worker.
 class start_gate {
  public:
+  /// Minimum time between two requested reads of a copy. A store that rejects
+  /// calls answers at once.
+  static constexpr std::chrono::milliseconds refresh_pause{150};
+
   start_gate(std::vector<watched_copy> copies, reporter report);
 
   /// @return whether tasks may start at `now`. Logs each change, and requests a
@@ -39,7 +43,7 @@
   std::string ages(model::time_point now) const;
 
  private:
-  void refresh(std::size_t index);
+  void refresh(std::size_t index, model::time_point now);
   std::chrono::milliseconds age_of(const watched_copy& copy,
                                    model::time_point now) const;
 
@@ -47,6 +51,7 @@
   /// Whether a requested read of each copy is in flight. Shared with the
   /// callbacks of these reads.
   std::shared_ptr<std::vector<bool>> refreshing_;
+  std::vector<model::time_point> refreshed_at_;
   reporter report_;
   /// Since when starts are held; empty while they are not.
   std::optional<model::time_point> held_since_;
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -34,7 +34,7 @@
 constexpr std::chrono::milliseconds max_operator_age{1500};
 constexpr std::chrono::milliseconds max_workers_age{1500};
 /// Timeout of an additional read of a copy that grows old.
-constexpr std::chrono::milliseconds refresh_timeout{500};
+constexpr std::chrono::milliseconds refresh_timeout{1200};
 
 /// Additional time for which an earlier leader may send orders after a
 /// takeover, beyond the lease that its last order may have granted.
--- a/packages/dispatch/src/start_gate.cc
+++ b/packages/dispatch/src/start_gate.cc
@@ -10,6 +10,7 @@
 start_gate::start_gate(std::vector<watched_copy> copies, reporter report)
     : copies_(std::move(copies)),
       refreshing_(std::make_shared<std::vector<bool>>(copies_.size(), false)),
+      refreshed_at_(copies_.size()),
       report_(report) {}
 
 std::chrono::milliseconds start_gate::age_of(const watched_copy& copy,
@@ -18,10 +19,11 @@
       now - copy.current_as_of());
 }
 
-void start_gate::refresh(std::size_t index) {
-  if ((*refreshing_)[index]) {
+void start_gate::refresh(std::size_t index, model::time_point now) {
+  if ((*refreshing_)[index] || now - refreshed_at_[index] < refresh_pause) {
     return;
   }
+  refreshed_at_[index] = now;
   (*refreshing_)[index] = true;
   copies_[index].refresh(
       [refreshing = refreshing_, index] { (*refreshing)[index] = false; });
@@ -33,7 +35,7 @@
     const auto& copy = copies_[n];
     auto age = age_of(copy, now);
     if (age > copy.max_age / 2) {
-      refresh(n);
+      refresh(n, now);
     }
     if (age > copy.max_age && oldest == nullptr) {
       oldest = &copy;
