--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -271,6 +271,8 @@
   }
   link.failures = 0;
   link.has_reported = true;
+  // A report may lead to a stop of a run that would continue elsewhere.
+  scheduler.hold_starts(!may_start());
   scheduler.on_report(id, *answer);
   handlers.on_change();
   if (scheduler.has_unstored_ends(id)) {
--- a/packages/dispatch/test/worker_links_test.cc
+++ b/packages/dispatch/test/worker_links_test.cc
@@ -171,7 +171,7 @@
   gateway_calls calls;
   silent_gateway gateway{calls};
   batch::scheduler scheduler{{}, boot_now(), [](const std::string&) {}};
-  bool may_start = false;
+  bool may_start = true;
   link_options options{.retry_pause = std::chrono::milliseconds(1)};
   worker_links links{
       loop,           gateway,
@@ -200,6 +200,7 @@
     planned = scheduler.plan(boot_now(), wall_now());
     REQUIRE(planned.orders.size() == 1);
     scheduler.on_progress_committed();
+    may_start = false;
     links.send(planned.orders.front());
   }
   void wait(std::chrono::milliseconds time) {
