--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -71,6 +71,7 @@
   batch::commit make_plan();
   void queue_orders(std::vector<batch::order> orders);
   void send_next_orders();
+  void send_unplanned_orders();
   void plan();
   void plan_slice();
   void store(batch::commit commit);
@@ -317,9 +318,18 @@
   if (boot_now() - last_sweep_at > sweep_interval) {
     sweep();
   }
+  send_unplanned_orders();
   plan();
 }
 
+/// Sends the orders that need no stored record, such as stops. They don't wait
+/// for the append in flight, which may have no answer for long.
+void leader::impl::send_unplanned_orders() {
+  if (active && context.may_act()) {
+    queue_orders(scheduler.take_orders());
+  }
+}
+
 /// Removes the states of jobs that ended long ago.
 void leader::impl::sweep() {
   last_sweep_at = boot_now();
@@ -518,6 +528,7 @@
     }
   } else if (change == kind::job_cancelled) {
     impl_->scheduler.cancel_job(id, boot_now());
+    impl_->send_unplanned_orders();
   } else if (change == kind::duplicate_job) {
     impl_->scheduler.remove_duplicate_job(id);
   } else {
--- a/tests/schedule/old_view_test.cc
+++ b/tests/schedule/old_view_test.cc
@@ -151,4 +151,22 @@
   s.check_promises();
 }
 
+// Guards against stops that wait behind an append of progress without an
+// answer.
+TEST_CASE("a cancelled job is stopped while an append has no answer") {
+  scene s;
+  auto leader = s.cluster.wait_for_leader();
+  auto running = s.submit(leader, 4, lasting);
+  REQUIRE(s.runs(running, 4));
+  s.cluster.set_store({{"held_appends", "progress"}});
+  auto next = s.submit(leader, 1, {200, 0});
+  REQUIRE(eventually(
+      [&] { return s.cluster.newest("progress").contains(next + "/0/0"); }));
+  s.cancel(leader, running);
+  CHECK(s.runs(running, 0));
+  s.cluster.set_store({{"held_appends", ""}});
+  CHECK(s.reaches(leader, next, "completed"));
+  s.check_promises();
+}
+
 }  // namespace vanillaladder::schedule
