--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -196,6 +196,7 @@
                            const worker_state& worker, time_point now);
   void order_stop(step_state& step, int index, run_state& run,
                   std::string_view why, time_point now);
+  void stop_gang(step_state& step, int run_number, time_point now);
   void end_lost_runs(const worker_state& worker, std::span<const run_ref> lost,
                      std::string_view why, time_point now);
   void expire_leases(time_point now);
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -374,6 +374,20 @@
   remove_run(*step, task.index, run_number);
   step->tasks[static_cast<std::size_t>(task.index)].not_before =
       now + refusal_retry_delay;
+  if (step->spec->gang) {
+    stop_gang(*step, run_number, now);
+  }
+}
+
+/// Stops the members of a gang's run, which would wait in vain for one that
+/// doesn't start.
+void scheduler::stop_gang(step_state& step, int run_number, time_point now) {
+  for (int n = 0; n < step.spec->count; ++n) {
+    auto& task = step.tasks[static_cast<std::size_t>(n)];
+    if (auto* run = task.find_run(run_number)) {
+      order_stop(step, n, *run, "gang_incomplete", now);
+    }
+  }
 }
 
 void scheduler::on_stop_answered(const model::worker_id& id,
--- a/packages/batch/test/scheduler_starts_test.cc
+++ b/packages/batch/test/scheduler_starts_test.cc
@@ -151,4 +151,28 @@
   CHECK(f.workers_running("b.0.0.0").size() == 1);
 }
 
+// Guards against members of a gang that wait in vain for one that was refused
+// or dropped.
+TEST_CASE("the members of a gang are stopped once one of them is refused") {
+  scheduler_fixture f;
+  f.add_worker("w1", {1000, 4000, 0});
+  f.add_worker("w2", {1000, 4000, 0});
+  auto gang = scheduler_fixture::step(2, 1000);
+  gang.gang = true;
+  f.add_job("a", {gang});
+  auto orders =
+      f.tested_scheduler().plan(f.now(), scheduler_fixture::wall_start).orders;
+  REQUIRE(orders.size() == 2);
+  f.tested_scheduler().on_progress_committed();
+  auto first = std::get<start_order>(orders[0]);
+  auto second = std::get<start_order>(orders[1]);
+  f.tested_scheduler().on_start_result(first.worker, first.task, first.run,
+                                       start_outcome::confirmed, f.now());
+  f.tested_scheduler().on_start_result(second.worker, second.task, second.run,
+                                       start_outcome::not_run, f.now());
+  auto stops = f.tested_scheduler().take_orders();
+  REQUIRE(stops.size() == 1);
+  CHECK(std::get<stop_order>(stops.front()).task == first.task);
+}
+
 }  // namespace vanillaladder::batch
