--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -253,7 +253,8 @@
   class candidates;
   bool place_gang(step_state& step, time_point now, std::vector<order>& orders);
   worker_state* choose_worker(const step_state& step, const task_state& task,
-                              time_point now, std::string_view rack);
+                              time_point now, std::string_view rack,
+                              bool trusted_only);
   /// Reason why a worker cannot run a task.
   enum class obstacle {
     none,
@@ -276,6 +277,8 @@
   bool is_gang_whole(const step_state& step, int run, time_point now) const;
   obstacle obstacle_at(const worker_state& worker, const step_state& step,
                        const task_state& task, time_point now) const;
+  bool is_last_resort(const worker_state& worker, const step_state& step,
+                      const task_state& task, time_point now) const;
   void log_wait_reasons(step_state& step, const task_state& task,
                         time_point now);
   bool can_run(const worker_state& worker, const step_state& step,
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <utility>
 
 #include "batch/detail/scheduler_state.h"
 #include "batch/scheduler.h"
@@ -87,6 +88,28 @@
       worker.runs, [&](const auto& ref) { return ref.step == &step; }));
 }
 
+bool has_just_failed_on(const detail::worker_state& worker,
+                        const detail::task_state& task, time_point now) {
+  return worker.entry.info.id == task.last_failed_worker &&
+         now < task.last_failed_at + failed_worker_pause;
+}
+
+/// @return when the worker's last run that ends by itself was started, without
+///   the members of the gang that is being placed.
+time_point last_start_of_other(const detail::worker_state& worker,
+                               const detail::step_state& placed) {
+  time_point last;
+  for (const auto& ref : worker.runs) {
+    bool counts = !ref.step->spec->long_running &&
+                  ref.run().phase != run_phase::stopping &&
+                  (!placed.spec->gang || ref.step != &placed);
+    if (counts) {
+      last = std::max(last, ref.run().ordered_at);
+    }
+  }
+  return last;
+}
+
 }  // namespace
 
 std::string_view scheduler::obstacle_name(obstacle cause) {
@@ -263,7 +286,6 @@
       found != obstacle::none) {
     return found;
   }
-  const auto& info = worker.entry.info;
   const auto& spec = *step.spec;
   auto need = spec.required_resources;
   if (spec.best_effort) {
@@ -280,24 +302,31 @@
   if (!model::fits_in(need, worker.free_resources())) {
     return obstacle::no_room;
   }
-  bool has_just_failed_there = info.id == task.last_failed_worker &&
-                               now < task.last_failed_at + failed_worker_pause;
-  if (!worker.trust.may_start(now, count_finite_runs(worker)) ||
-      has_just_failed_there) {
-    return obstacle::not_trusted;
-  }
   if (spec.per_worker_limit > 0 &&
       count_runs_of_step(worker, step) >= spec.per_worker_limit) {
     return obstacle::limit_per_worker;
   }
-  // Checked last because it is the most expensive check.
   if (spec.best_effort && !is_starved(step, now) &&
       expected_speed(worker, step) < min_speed(step, now)) {
     return obstacle::presses_on_serving;
   }
+  // Checked last: a worker with this obstacle has no other.
+  if (!worker.trust.may_start(now, count_finite_runs(worker)) ||
+      has_just_failed_on(worker, task, now)) {
+    return obstacle::not_trusted;
+  }
   return obstacle::none;
 }
 
+/// @return whether a worker whose only obstacle is `not_trusted` may run the
+///   task if no other worker can. Gets one task, or one gang, per pause.
+bool scheduler::is_last_resort(const worker_state& worker,
+                               const step_state& step, const task_state& task,
+                               time_point now) const {
+  return !has_just_failed_on(worker, task, now) &&
+         worker.trust.may_start_as_only(now, last_start_of_other(worker, step));
+}
+
 bool scheduler::can_run(const worker_state& worker, const step_state& step,
                         const task_state& task, time_point now) const {
   return obstacle_at(worker, step, task, now) == obstacle::none;
@@ -357,15 +386,21 @@
 scheduler::worker_state* scheduler::choose_worker(const step_state& step,
                                                   const task_state& task,
                                                   time_point now,
-                                                  std::string_view rack) {
+                                                  std::string_view rack,
+                                                  bool trusted_only) {
   worker_state* best = nullptr;
-  double best_cost = 0;
+  std::pair<bool, double> best_cost;
   for (auto& [id, worker] : workers_) {
-    if ((!rack.empty() && worker->entry.info.rack != rack) ||
-        !can_run(*worker, step, task, now)) {
+    if (!rack.empty() && worker->entry.info.rack != rack) {
       continue;
     }
-    double cost = cost_of(*worker, step, task);
+    auto found = obstacle_at(*worker, step, task, now);
+    bool untrusted = found == obstacle::not_trusted && !trusted_only &&
+                     is_last_resort(*worker, step, task, now);
+    if (found != obstacle::none && !untrusted) {
+      continue;
+    }
+    std::pair cost(untrusted, cost_of(*worker, step, task));
     if (best == nullptr || cost < best_cost) {
       best = worker.get();
       best_cost = cost;
@@ -375,7 +410,7 @@
 }
 
 /// Heap of the workers that can run the identical tasks of one step, cheapest
-/// first.
+/// first, those that are a last resort at the end.
 ///
 /// A start changes only the cost of its own worker, so the other workers need
 /// not be examined again for the next task.
@@ -411,6 +446,7 @@
 
  private:
   struct candidate {
+    bool untrusted = false;
     double cost = 0;
     /// Breaks ties between equal costs, so that decisions are deterministic.
     std::size_t position = 0;
@@ -418,14 +454,19 @@
   };
 
   static bool costs_more(const candidate& a, const candidate& b) {
-    return std::tie(a.cost, a.position) > std::tie(b.cost, b.position);
+    return std::tie(a.untrusted, a.cost, a.position) >
+           std::tie(b.untrusted, b.cost, b.position);
   }
 
   bool add(worker_state& worker, std::size_t position) {
-    if (!owner_.can_run(worker, step_, task_, now_)) {
+    auto found = owner_.obstacle_at(worker, step_, task_, now_);
+    bool untrusted = found == obstacle::not_trusted &&
+                     owner_.is_last_resort(worker, step_, task_, now_);
+    if (found != obstacle::none && !untrusted) {
       return false;
     }
-    heap_.push_back({owner_.cost_of(worker, step_, task_), position, &worker});
+    heap_.push_back(
+        {untrusted, owner_.cost_of(worker, step_, task_), position, &worker});
     return true;
   }
 
@@ -479,10 +520,23 @@
     }
   }
   // Tries single racks first and all racks, the empty name, last.
-  for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
+  std::vector<std::pair<std::string, bool>> tries;
+  for (bool trusted_only : {true, false}) {
+    for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
+      tries.emplace_back(*rack, trusted_only);
+    }
+    bool all_trusted = std::ranges::all_of(workers_, [now](const auto& each) {
+      return each.second->trust.may_start(now, 1);
+    });
+    if (all_trusted) {
+      break;
+    }
+  }
+  for (const auto& [rack, trusted_only] : tries) {
     std::vector<worker_state*> chosen;
     for (std::size_t n = 0; n < step.tasks.size(); ++n) {
-      auto* worker = choose_worker(step, step.tasks[n], now, *rack);
+      auto* worker =
+          choose_worker(step, step.tasks[n], now, rack, trusted_only);
       if (worker == nullptr) {
         break;
       }
@@ -557,7 +611,7 @@
       }
       worker = shared_candidates->take();
     } else {
-      worker = choose_worker(step, task, now, "");
+      worker = choose_worker(step, task, now, "", false);
     }
     if (worker == nullptr) {
       log_wait_reasons(step, task, now);
--- a/packages/batch/src/worker_trust.cc
+++ b/packages/batch/src/worker_trust.cc
@@ -12,6 +12,7 @@
 void worker_trust::on_task_failed(const model::job_id& job, time_point now) {
   bool is_different_job = consecutive_failures_ == 0 || job != last_failed_job_;
   last_task_succeeded_ = false;
+  last_fault_at_ = now;
   last_failed_job_ = job;
   if (!is_different_job) {
     return;
@@ -24,6 +25,7 @@
 
 void worker_trust::on_refused(time_point now) {
   last_task_succeeded_ = false;
+  last_fault_at_ = now;
   pause(now);
 }
 
@@ -44,4 +46,9 @@
          now >= paused_until_ + probation_time;
 }
 
+bool worker_trust::may_start_as_only(time_point now,
+                                     time_point last_start) const {
+  return now >= std::max(last_fault_at_, last_start) + only_worker_pause;
+}
+
 }  // namespace vanillaladder::batch
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -39,6 +39,8 @@
     bool omits_ends = false;
     bool unresponsive = false;
     bool drops_responses = false;
+    /// Refuses each start as an unhealthy worker does.
+    bool refuses_starts = false;
   };
 
   explicit scheduler_fixture(scheduler_options options = {})
@@ -236,6 +238,8 @@
   bool drops_pace_orders = false;
   /// Start orders without a response.
   std::vector<start_order> unanswered;
+  /// Stop orders that did not reach an unresponsive worker.
+  std::vector<order> undelivered_stops;
 
  private:
   void store(const commit& result) {
@@ -258,6 +262,11 @@
                                   start_outcome::unknown, now_);
       return;
     }
+    if (worker.refuses_starts) {
+      scheduler_->on_start_result(start.worker, start.task, start.run,
+                                  start_outcome::unhealthy, now_);
+      return;
+    }
     worker.running.push_back({start.task, start.run, start.checkpoint, 0, 0});
     scheduler_->on_start_result(start.worker, start.task, start.run,
                                 start_outcome::confirmed, now_);
@@ -266,6 +275,7 @@
   void execute(const stop_order& stop) {
     auto& worker = workers.at(stop.worker);
     if (worker.unresponsive) {
+      undelivered_stops.push_back(stop);
       return;
     }
     end(to_string(stop.task), end_reason::stopped);
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -908,6 +908,39 @@
   REQUIRE(f.workers_running("next.0.0.0").size() == 1);
 }
 
+// Guards against sending work to a faulty worker while a sound one has room:
+// only a task that no other worker can run is an exception to the pause.
+TEST_CASE("a worker that is not trusted is used only if no other fits") {
+  scheduler_fixture f;
+  f.add_worker("w1", {8000, 9000, 0});
+  for (int n = 0; n < 2; ++n) {
+    auto id = "f" + std::to_string(n);
+    f.add_job(id, {scheduler_fixture::step(1, 1000)}, 1);
+  }
+  f.plan();
+  f.add_worker("w2", {4000, 9000, 0});
+  for (int n = 0; n < 2; ++n) {
+    f.end("f" + std::to_string(n) + ".0.0.0", end_reason::failed);
+  }
+  f.report("w1");
+  f.advance_time(worker_trust::initial_pause);
+  f.add_job("trial", {scheduler_fixture::step(1, 6000)});
+  f.plan();
+  REQUIRE(f.workers_running("trial.0.0.0").size() == 1);
+  f.advance_time(worker_trust::only_worker_pause);
+  f.report_all();
+  f.add_job("any", {scheduler_fixture::step(4, 1000)});
+  f.plan();
+  for (int n = 0; n < 4; ++n) {
+    auto task = "any.0.0." + std::to_string(n);
+    REQUIRE(f.workers_running(task) == std::vector<std::string>{"w2"});
+  }
+  f.add_job("full", {scheduler_fixture::step(2, 1000)});
+  f.plan();
+  REQUIRE(f.workers_running("full.0.0.0") == std::vector<std::string>{"w1"});
+  REQUIRE(f.workers_running("full.0.0.1").empty());
+}
+
 // Under load most steps wait, and steps that need as much as one that found no
 // worker are skipped. Steps that need less must not be skipped.
 TEST_CASE("pattern: a small step is placed while larger ones wait") {
--- a/packages/batch/test/worker_trust_test.cc
+++ b/packages/batch/test/worker_trust_test.cc
@@ -50,5 +50,21 @@
   REQUIRE(trust.may_start(now + worker_trust::max_pause, 0));
 }
 
+// Guards against a task that waits for the longest pause, or for the end of the
+// probation, although no other worker can run it.
+TEST_CASE("a paused worker is the last resort after a bounded time") {
+  worker_trust trust;
+  auto now = start;
+  for (int n = 0; n < 6; ++n) {
+    now += worker_trust::max_pause;
+    trust.on_refused(now);
+  }
+  auto bounded = now + worker_trust::only_worker_pause;
+  REQUIRE_FALSE(trust.may_start(bounded, 0));
+  REQUIRE_FALSE(trust.may_start_as_only(bounded - 1ms, start));
+  REQUIRE(trust.may_start_as_only(bounded, start));
+  REQUIRE_FALSE(trust.may_start_as_only(bounded, now + 1ms));
+}
+
 }  // namespace
 }  // namespace vanillaladder::batch
