--- a/packages/batch/src/job.cc
+++ b/packages/batch/src/job.cc
@@ -38,6 +38,10 @@
     return std::nullopt;
   }
   key.step.job = std::move(parts[0]);
+  if (key.step.occurrence < 0 || key.step.step < 0 || key.index < 0 ||
+      to_string(key) != text) {
+    return std::nullopt;
+  }
   return key;
 }
 
--- a/packages/batch/src/job_records.cc
+++ b/packages/batch/src/job_records.cc
@@ -135,6 +135,9 @@
     return std::nullopt;
   }
   key.job = std::move(parts[0]);
+  if (key.occurrence < 0 || key.step < 0 || to_string(key) != text) {
+    return std::nullopt;
+  }
   return key;
 }
 
