--- a/packages/batch/src/job_records.cc
+++ b/packages/batch/src/job_records.cc
@@ -6,6 +6,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
+#include <limits>
 #include <memory>
 
 #include "batch_records_types.h"
@@ -87,6 +89,20 @@
   return step;
 }
 
+/// @return whether the next number can still be counted.
+bool is_count(int value) {
+  return value >= 0 && value < std::numeric_limits<int>::max();
+}
+
+bool is_valid(const task_record& task) {
+  return task.index >= 0 && task.index < max_tasks_per_job &&
+         is_count(task.last_run) && is_count(task.failures) &&
+         std::ranges::all_of(task.runs, [](const run_record& run) {
+           return is_count(run.number) && run.incarnation >= 0 &&
+                  run.incarnation <= max_unix_time;
+         });
+}
+
 char prefix_of(record_kind kind) {
   switch (kind) {
     case record_kind::job:
@@ -239,6 +255,9 @@
     for (auto& run : from.runs) {
       task.runs.push_back({run.number, std::move(run.worker), run.life});
     }
+    if (!is_valid(task)) {
+      return absl::DataLossError("decode step progress: number out of range");
+    }
     tasks.push_back(std::move(task));
   }
   return tasks;
