--- a/packages/batch/src/job_records.cc
+++ b/packages/batch/src/job_records.cc
@@ -196,6 +196,9 @@
   spec.policy = {std::move(in->policy.service_name), in->policy.priority,
                  in->policy.max_attempts, in->policy.stretch,
                  milliseconds(in->policy.target_latency_ms)};
+  if (auto problem = find_problem(spec); !problem.empty()) {
+    return absl::DataLossError(absl::StrCat("decode job: ", problem));
+  }
   return spec;
 }
 
--- a/packages/dispatch/test/job_service_test.cc
+++ b/packages/dispatch/test/job_service_test.cc
@@ -19,6 +19,7 @@
 
   submit_result submit(const std::string& id) {
     batch::job_spec spec;
+    spec.steps = {{.count = 1}};
     spec.id = id;
     std::optional<submit_result> result;
     service.submit(queue, spec, [&](submit_result made) { result = made; });
@@ -62,6 +63,7 @@
   REQUIRE(cancel("a") == cancel_result::cancelled);
   REQUIRE(cancel("b") == cancel_result::no_such_job);
   batch::job_spec spec;
+  spec.steps = {{.count = 1}};
   spec.id = "a";
   f.store.topic.push_back({"j/a", batch::encode(spec)});
   f.run_until([&] {
@@ -78,6 +80,7 @@
   fixture f;
   f.store.drops_answers = true;
   batch::job_spec spec;
+  spec.steps = {{.count = 1}};
   spec.id = "a";
   f.service.submit(f.queue, spec, [](submit_result) {});
   auto before = f.store.appends;
@@ -128,6 +131,7 @@
   REQUIRE(f.submit("a") == submit_result::accepted);
   f.store.unresponsive = true;
   batch::job_spec spec;
+  spec.steps = {{.count = 1}};
   spec.id = "b";
   f.service.submit(f.queue, spec, [](submit_result) {});
   REQUIRE(f.service.store_responsive());
@@ -143,6 +147,7 @@
   fixture f;
   f.store.drops_answers = true;
   batch::job_spec spec;
+  spec.steps = {{.count = 1}};
   spec.id = "a";
   f.service.submit(f.queue, spec, [](submit_result) {});
   bool elapsed = false;
