--- a/packages/batch/include/batch/job_directory.h
+++ b/packages/batch/include/batch/job_directory.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -46,6 +47,13 @@
   /// @param value the record's value; empty if the key was removed.
   change apply(std::string_view key, std::string_view value);
 
+  /// Drops what rests on records that no longer exist. To be called after all
+  /// existing records have been applied by a load: the removal of others may
+  /// have been missed.
+  /// @param keys keys of all existing records; keys of other kinds are ignored.
+  /// @return number of jobs that were dropped or changed.
+  int retain(const std::set<std::string>& keys);
+
   /// @return the job, or null if it does not exist.
   const entry* find(std::string_view id) const;
   /// @return number of jobs of a queue of which no task has started, without
--- a/packages/batch/src/job_directory.cc
+++ b/packages/batch/src/job_directory.cc
@@ -91,6 +91,51 @@
   return change::state_changed;
 }
 
+int job_directory::retain(const std::set<std::string>& keys) {
+  int changed = 0;
+  for (auto each = entries_.begin(); each != entries_.end();) {
+    auto current = each++;
+    auto exists = [&](record_kind kind) {
+      return keys.contains(to_string(job_record_key{kind, current->first}));
+    };
+    auto& job = current->second;
+    bool has_spec = exists(record_kind::job);
+    bool has_state = exists(record_kind::state);
+    bool has_cancellation = exists(record_kind::cancellation);
+    if (!has_spec && !has_state && !has_cancellation) {
+      adjust_pending(job, -1);
+      entries_.erase(current);
+      ++changed;
+      continue;
+    }
+    bool loses_spec = !has_spec && job.spec != nullptr;
+    bool loses_state = !has_state && job.status.state != job_state::queued;
+    bool loses_cancellation = !has_cancellation && job.cancelled;
+    if (!loses_spec && !loses_state && !loses_cancellation) {
+      continue;
+    }
+    ++changed;
+    adjust_pending(job, -1);
+    if (loses_spec) {
+      job.spec.reset();
+    }
+    if (loses_state) {
+      // The id was submitted again after the state of its earlier job was
+      // removed.
+      job.status = {};
+      if (job.spec != nullptr) {
+        job.status.queue = job.spec->queue;
+      }
+    }
+    if (loses_state || loses_cancellation) {
+      // A cancellation is not taken over while the job counts as ended.
+      job.cancelled = has_cancellation;
+    }
+    adjust_pending(job, 1);
+  }
+  return changed;
+}
+
 bool job_directory::is_pending(const entry& counted) {
   return counted.spec != nullptr && counted.spec->repeat_count == 0 &&
          counted.visible_state() == job_state::queued;
--- a/packages/batch/test/placement_property_test.cc
+++ b/packages/batch/test/placement_property_test.cc
@@ -159,7 +159,8 @@
   ///   such waits.
   milliseconds longest_wait_in_calm() {
     milliseconds longest{0};
-    std::optional<time_point> since;
+    bool is_waiting = false;
+    time_point since;
     auto end = f_.now() + longest_lease_wait + gang_wait + longest_wait;
     while (f_.now() < end && !is_subject_running()) {
       cancel_waiting_others();
@@ -169,12 +170,12 @@
           f_.tested_scheduler().lease_of("w0")->settled_at() <= f_.now();
       if (is_subject_running() || !settled ||
           f_.tested_scheduler().waiting_tasks() < members()) {
-        since.reset();
+        is_waiting = false;
         continue;
       }
-      since = since.value_or(f_.now());
+      since = std::exchange(is_waiting, true) ? since : f_.now();
       longest = std::max(
-          longest, std::chrono::duration_cast<milliseconds>(f_.now() - *since));
+          longest, std::chrono::duration_cast<milliseconds>(f_.now() - since));
     }
     return longest;
   }
--- a/packages/dispatch/include/dispatch/scheduling_daemon.h
+++ b/packages/dispatch/include/dispatch/scheduling_daemon.h
@@ -49,6 +49,7 @@
   void apply_operator(std::string_view key, std::string_view value);
   void apply_worker(std::string_view key, std::string_view value);
   void remove_worker(const model::worker_id& id);
+  void retain_jobs(const std::set<std::string>& keys);
   void retain_closed_domains(const std::set<std::string>& keys);
   void retain_workers(const std::set<std::string>& keys);
   bool can_lead() const;
--- a/packages/dispatch/include/dispatch/topic_follower.h
+++ b/packages/dispatch/include/dispatch/topic_follower.h
@@ -31,7 +31,8 @@
   struct listener {
     /// Called for each record; the value is empty for a deleted key.
     std::function<void(std::string_view key, std::string_view value)> on_record;
-    /// Called after each load with all existing keys; other keys were deleted.
+    /// Called after each load with all existing keys and those noted by
+    /// `note_stored` meanwhile; other keys were deleted.
     std::function<void(const std::set<std::string>& keys)> on_loaded;
     /// Called when reads begin to fail, and when a read succeeds again.
     std::function<void(bool store_reachable)> on_reachability = {};
@@ -57,6 +58,9 @@
                std::optional<std::chrono::milliseconds> timeout = {});
   /// Applies records that this daemon has appended.
   void apply(const external::record_batch& batch);
+  /// Notes that this daemon has appended a record and applies it to the copy
+  /// itself. The pages of a load may have been read before the append.
+  void note_stored(std::string_view key);
   /// Calls `done` once the copy contains all records before `offset`.
   void when_reached(model::offset offset, std::function<void()> done);
 
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -90,7 +90,8 @@
       jobs_follower_(
           loop, store,
           {std::string(batch::jobs_topic), read_wait, follower_jobs_pause},
-          {[this](auto key, auto value) { apply_job(key, value); }, {}},
+          {[this](auto key, auto value) { apply_job(key, value); },
+           [this](const auto& keys) { retain_jobs(keys); }},
           report),
       operator_follower_(
           loop, store, {decoder.operator_topic(), read_wait, {}},
@@ -111,7 +112,11 @@
           report),
       service_(
           loop, store, jobs_, config_, jobs_follower_,
-          [this](auto key, auto value) { apply_job(key, value); }, report),
+          [this](auto key, auto value) {
+            jobs_follower_.note_stored(key);
+            apply_job(key, value);
+          },
+          report),
       leadership_(loop, store, leadership_options_of(settings),
                   {[this](model::epoch epoch) { start_leader(epoch); },
                    [this] { stop_leader(); }, [this] { return can_lead(); }},
@@ -151,6 +156,17 @@
   }
 }
 
+/// Drops jobs that were removed while their records were not read: the history
+/// of the topic is limited, and a leader would start them again.
+void scheduling_daemon::retain_jobs(const std::set<std::string>& keys) {
+  auto before = jobs_.size();
+  if (int changed = jobs_.retain(keys); changed > 0) {
+    report_.event("daemon",
+                  absl::StrCat("jobs_retained before=", before,
+                               " after=", jobs_.size(), " changed=", changed));
+  }
+}
+
 void scheduling_daemon::apply_operator(std::string_view key,
                                        std::string_view value) {
   auto record = decoder_.decode_operator(key, value);
--- a/packages/dispatch/src/topic_follower.cc
+++ b/packages/dispatch/src/topic_follower.cc
@@ -70,6 +70,7 @@
   model::offset load_end = 0;
   model::time_point load_sent_at;
   int pages_loaded = 0;
+  /// Keys on the pages of a load, and those stored by this daemon meanwhile.
   std::set<std::string> keys;
   model::time_point last_read_sent_at;
   model::time_point last_read_answered_at;
@@ -348,6 +349,12 @@
   impl_->apply(batch);
 }
 
+void topic_follower::note_stored(std::string_view key) {
+  if (impl_->loading) {
+    impl_->keys.emplace(key);
+  }
+}
+
 void topic_follower::when_reached(model::offset offset,
                                   std::function<void()> done) {
   if (impl_->loaded && impl_->next >= offset) {
--- a/packages/dispatch/test/fake_store.h
+++ b/packages/dispatch/test/fake_store.h
@@ -3,6 +3,7 @@
 #include <absl/status/status.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -71,9 +72,15 @@
   }
 
   void read_newest(const std::string& name, const std::string& after,
-                   std::optional<std::chrono::milliseconds>,
+                   std::optional<std::chrono::milliseconds> timeout,
                    newest_callback done) override {
     pages_requested.push_back(after);
+    if (after == held_after) {
+      held_pages.emplace_back([this, name, after, timeout, done] {
+        read_newest(name, after, timeout, done);
+      });
+      return;
+    }
     if (name == unreadable_topic) {
       loop_->post([done] { done(absl::UnavailableError("busy")); });
       return;
@@ -107,6 +114,9 @@
   std::size_t keys_per_page = 0;
   /// The page after this key is not answered in time.
   std::optional<std::string> unreadable_after;
+  /// The pages after this key are read once the test calls `held_pages`.
+  std::optional<std::string> held_after;
+  std::vector<std::function<void()>> held_pages;
   /// Keys after which pages were requested.
   std::vector<std::string> pages_requested;
   /// Records of a read, at most; 0 for all.
--- a/packages/dispatch/test/scheduling_daemon_test.cc
+++ b/packages/dispatch/test/scheduling_daemon_test.cc
@@ -1,6 +1,7 @@
 #include "dispatch/scheduling_daemon.h"
 
 #include <catch2/catch.hpp>
+#include <utility>
 
 #include "daemon_fixture.h"
 #include "silent_gateway.h"
@@ -91,5 +92,86 @@
   f.run_until([&] { return reports["w"] > before["w"]; });
 }
 
+/// A daemon that follows the jobs and can't lead.
+struct following_daemon : daemon_fixture {
+  gateway_calls calls;
+  empty_decoder decoder;
+  daemon_settings settings = [] {
+    daemon_settings out;
+    out.instance = std::string("a");
+    return out;
+  }();
+  scheduling_daemon daemon{
+      loop,
+      settings,
+      store,
+      decoder,
+      [this] { return std::make_unique<silent_gateway>(calls); },
+      report};
+
+  following_daemon() {
+    store.unreadable_topic = "operator";
+    for (const auto* id : {"a", "b"}) {
+      batch::job_spec spec;
+      spec.id = std::string(id);
+      spec.queue = "queue";
+      spec.steps.push_back({.count = 1});
+      store.topic.push_back({"j/" + spec.id, encode(spec)});
+    }
+    daemon.start();
+    run_until([this] { return shown("a") == job_answer::kind::known; });
+  }
+
+  /// Removes the first job, and the history that told of it.
+  void lose_history() {
+    store.topic[0] = {"j/b", store.topic[1].value};
+    store.topic.push_back(store.topic[1]);
+    store.first_retained = static_cast<model::offset>(store.topic.size());
+  }
+  job_answer::kind shown(const model::job_id& id) {
+    std::optional<job_answer::kind> kind;
+    daemon.service().show(id, [&](job_answer got) { kind = got.outcome; });
+    run_until([&] { return kind.has_value(); });
+    return *kind;
+  }
+};
+
+// Guards against a follower that missed more than the topic's history, keeps
+// removed jobs, and starts them when it leads.
+TEST_CASE("a job whose removal was not read is gone after the next load") {
+  following_daemon f;
+  f.lose_history();
+  f.run_until([&] { return f.shown("a") != job_answer::kind::known; });
+  REQUIRE(f.shown("a") == job_answer::kind::no_such_job);
+  REQUIRE(f.shown("b") == job_answer::kind::known);
+}
+
+// Guards against an accepted job that is unknown after a load whose pages were
+// read before its append.
+TEST_CASE("a job that is accepted during a load is known after it") {
+  following_daemon f;
+  f.store.keys_per_page = 1;
+  f.store.held_after = "j/b";
+  f.store.topic.push_back({"j/c", f.store.topic[1].value});
+  f.lose_history();
+  // The loads of the jobs and of the workers.
+  f.run_until([&] { return f.store.held_pages.size() == 2; });
+  batch::job_spec spec;
+  spec.id = std::string("a-own");
+  spec.steps.push_back({.count = 1});
+  std::optional<submit_result> result;
+  f.daemon.service().submit({}, spec, [&](submit_result got) { result = got; });
+  f.run_until([&] { return result.has_value(); });
+  REQUIRE(*result == submit_result::accepted);
+  // No read delivers the record after the load.
+  f.store.unresponsive = true;
+  f.store.held_after.reset();
+  for (const auto& read : std::exchange(f.store.held_pages, {})) {
+    read();
+  }
+  f.run_until([&] { return f.shown("a") != job_answer::kind::known; });
+  REQUIRE(f.shown("a-own") == job_answer::kind::known);
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/test/topic_follower_test.cc
+++ b/packages/dispatch/test/topic_follower_test.cc
@@ -150,5 +150,31 @@
   f.run_until([&] { return f.slow.next() == end; });
 }
 
+// Guards against the loss of a record that this daemon appended after the page
+// with its key was read.
+TEST_CASE("a load keeps the keys that were stored meanwhile") {
+  daemon_fixture f;
+  f.store.keys_per_page = 1;
+  f.store.topic = {{"b", "1"}, {"c", "1"}};
+  f.store.unreadable_after = "b";
+  f.store.pages_requested.clear();
+  std::set<std::string> kept;
+  topic_follower paged{
+      f.loop,
+      f.store,
+      {"paged", 1ms, 1ms},
+      {[](auto, auto) {},
+       [&](const std::set<std::string>& keys) { kept = keys; }},
+      f.report};
+  paged.note_stored("before");
+  paged.start();
+  f.run_until(
+      [&] { return std::ranges::count(f.store.pages_requested, "b") > 1; });
+  paged.note_stored("a");
+  f.store.unreadable_after.reset();
+  f.run_until([&] { return paged.loaded(); });
+  REQUIRE(kept == std::set<std::string>{"a", "b", "c"});
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
