--- a/packages/dispatch/include/dispatch/rising_timeout.h
+++ b/packages/dispatch/include/dispatch/rising_timeout.h
@@ -25,4 +25,12 @@
   std::chrono::milliseconds value_;
 };
 
+/// @return the timeout of a page of newest records. While the store is slow, a
+///   page for many daemons at once takes longer than the first value; the
+///   highest one bounds how long a connection that died in an outage is waited
+///   for.
+inline rising_timeout make_page_timeout() {
+  return {std::chrono::milliseconds(1500), std::chrono::milliseconds(3000)};
+}
+
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -19,9 +19,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_pause{100};
-/// Timeouts of a page of the stored progress; nothing starts before it is read.
-constexpr std::chrono::milliseconds first_page_timeout{1500};
-constexpr std::chrono::milliseconds highest_page_timeout{6000};
 /// A plan that exceeds the budget of one event-loop turn continues in later
 /// turns. Its parts share one append unless that would delay the first start by
 /// more than this.
@@ -102,7 +99,7 @@
   work_timer send_timer;
   std::unique_ptr<worker_links> links;
   std::vector<batch::topic_record> progress_records;
-  rising_timeout page_timeout{first_page_timeout, highest_page_timeout};
+  rising_timeout page_timeout = make_page_timeout();
   absl::flat_hash_map<std::string, batch::worker_entry> workers;
   model::time_point started = boot_now();
   /// When the current or the last plan was started.
--- a/packages/dispatch/src/topic_follower.cc
+++ b/packages/dispatch/src/topic_follower.cc
@@ -19,10 +19,6 @@
 constexpr std::chrono::milliseconds retry_pause{150};
 /// A pause is not extended by less than this.
 constexpr std::chrono::milliseconds min_read_pause{5};
-/// Timeouts of a page of a load. While the store is slow, a page for many
-/// daemons at once takes longer than the first.
-constexpr std::chrono::milliseconds first_page_timeout{1500};
-constexpr std::chrono::milliseconds highest_page_timeout{3000};
 
 }  // namespace
 
@@ -60,7 +56,7 @@
   /// the last one is there.
   bool loading = false;
   bool store_reachable = true;
-  rising_timeout page_timeout{first_page_timeout, highest_page_timeout};
+  rising_timeout page_timeout = make_page_timeout();
   /// Number of the last load. Reads sent before it are of no use.
   int load_number = 0;
   /// Timer that ends the pause between two reads; empty while a read is in
