--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -63,11 +63,16 @@
   record_file << now_ms() << " " << line << "\n" << std::flush;
 }
 
-/// The case could not run.
+/// The temporary folder of the scene.
+inline std::string scratch;
+
+/// The case could not run. The daemons end with this process.
 [[noreturn]] inline void cannot_run(const std::string& why) {
   note("CANNOT RUN: " + why);
   std::fprintf(stderr, "cannot run: %s\n", why.c_str());
-  throw 2;
+  std::error_code ignored;
+  if (!scratch.empty()) std::filesystem::remove_all(scratch, ignored);
+  std::_Exit(2);
 }
 
 // ---- HTTP
@@ -963,7 +968,7 @@
     auto name = (std::filesystem::temp_directory_path() / "review-2-XXXXXX")
                     .string();
     if (mkdtemp(name.data()) == nullptr) cannot_run("no temporary folder");
-    folder_ = name;
+    folder_ = scratch = name;
     put_config(1);
     for (auto& o : fleet) {
       runners.push_back(std::make_unique<runner>(platform, log, o));
@@ -973,7 +978,12 @@
                                                folder_, platform.open_door()));
     }
     for (auto& each : nodes) {
-      if (!until(15000, [&] { return each->is_ready(); })) {
+      // Another process may have taken one of the free ports meanwhile.
+      int launches = 1;
+      if (!until(15000, [&] {
+            if (!each->up() && ++launches < 6) each->launch();
+            return each->is_ready();
+          })) {
         cannot_run("daemon " + each->id() + " is not ready");
       }
     }
--- a/review/standins-2/scene.cc
+++ b/review/standins-2/scene.cc
@@ -241,8 +241,6 @@
     s = new rig::scene(rig::fleet(found->second.runners));
     result = found->second.play(*s);
     for (auto& each : s->nodes) each->up();
-  } catch (int code) {
-    result = code;
   } catch (const std::exception& error) {
     rig::note(std::string("CANNOT RUN: ") + error.what());
   }
