--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -595,7 +595,7 @@
 };
 
 struct runner_options {
-  std::string id, service = "vatitell", zone = "parnu-a", rack = "r1-1";
+  std::string id, service = "vatitell", zone = "parnu-a", rack = "r1-1", kind = "a";
   long cpu = 32000, mem = 128000;
   long max_hold = 6000, stop_ms = 200, heartbeat = 1100;
 };
@@ -633,15 +633,27 @@
     server_->reset_all();
     changed_.notify_all();
   }
-  /// Starts again under its id, with `born` as given.
-  void start_again(long born) {
+  /// Starts again under its id, with `born` and its kind as given. Its entry is
+  /// in the store `entry_lag` ms later.
+  void start_again(long born, const std::string& kind = "",
+                   long entry_lag = 0) {
     {
       std::lock_guard lock(mutex_);
       begin_life(born);
+      if (!kind.empty()) o_.kind = kind;
       dead_ = false;
+      announces = entry_lag == 0;
     }
-    note("runner " + o_.id + " starts again, born " + std::to_string(born));
+    note("runner " + o_.id + " starts again, born " + std::to_string(born) +
+         ", kind " + o_.kind);
     server_->refuse = false;
+    if (entry_lag > 0) {
+      std::thread([this, entry_lag] {
+        pause_ms(entry_lag);
+        announces = true;
+        announce();
+      }).detach();
+    }
     announce();
   }
   /// Calls get no answer and have no effect; its entry lapses.
@@ -669,7 +681,7 @@
                {"seqNo", ++beats_},
                {"born", born_},
                {"capacity", {{"cpu", o_.cpu}, {"memMb", o_.mem}, {"gpu", 0}}},
-               {"labels", {"a", o_.rack}}};
+               {"labels", {o_.kind, o_.rack}}};
       if (draining) entry["remainingMs"] = 2000;
     }
     store_.put("keyed.servers", o_.id, entry.dump());
@@ -889,22 +901,46 @@
   ~daemon() { end(SIGKILL); }
   daemon(const daemon&) = delete;
 
+  /// Fills in deploy/settings.toml as DEPLOY.md says, with the figures of the
+  /// small site; the port of the metrics is a free one.
+  void write_settings(const std::string& path) const {
+    std::ifstream in("deploy/settings.toml");
+    std::string text{std::istreambuf_iterator<char>(in), {}};
+    auto local = [](int port) { return "127.0.0.1:" + std::to_string(port); };
+    const std::vector<std::pair<std::string, std::string>> values = {
+        {"{{ip}}:9102", local(free_port())},
+        {"{{node}}", id_},
+        {"{{zone}}", "parnu-a"},
+        {"{{listenAddrs.front}}", local(front)},
+        {"{{listenAddrs.ready}}", local(ready)},
+        {"{{platform.address}}", local(store_)},
+        {"{{bounds.maxHoldMs}}", "6000"},
+        {"{{bounds.early_ms}}", "250"},
+        {"{{bounds.stopTimeoutMs}}", "200"},
+        {"{{bounds.restoreMs}}", "100"},
+        {"{{bounds.status_s}}", "120"},
+        {"{{bounds.graceS}}", grace_s},
+        {"{{limits.cpuShare}}", "0.25"},
+        {"{{limits.cores}}", "1"}};
+    for (auto& [name, value] : values) {
+      for (auto at = text.find(name); at != std::string::npos;
+           at = text.find(name)) {
+        text.replace(at, name.size(), value);
+      }
+    }
+    if (text.empty() || text.find("{{") != std::string::npos) {
+      cannot_run("deploy/settings.toml can't be filled in");
+    }
+    std::ofstream(path) << text;
+  }
+  /// `graceS` of the settings file, in seconds.
+  inline static std::string grace_s = "6";
+
   void launch() {
     front = free_port();
     ready = free_port();
     auto path = folder_ + "/" + id_ + ".toml";
-    // deploy/settings.toml with the figures of the small site.
-    std::ofstream(path)
-        << "[instance]\nid = \"" << id_ << "\"\ndomain = \"parnu-a\"\n"
-        << "[listen]\ncallers = \"127.0.0.1:" << front << "\"\n"
-        << "ready = \"127.0.0.1:" << ready << "\"\n"
-        << "metrics = \"127.0.0.1:" << free_port() << "\"\n"
-        << "[store]\naddress = \"127.0.0.1:" << store_ << "\"\n"
-        << "[workers]\nlongest_lease_ms = 6000\nearly_start_ms = 250\n"
-        << "run_stop_ms = 200\nrestore_ms = 100\n"
-        << "[jobs]\nstate_retention_ms = 120000\n"
-        << "[limits]\nstop_ms = 6000\nprocessor_share = 0.25\n"
-        << "processor_speed = 1\n";
+    write_settings(path);
     auto log = folder_ + "/" + id_ + ".log";
     pid_ = fork();
     if (pid_ == 0) {
--- a/review/standins-2/scene.cc
+++ b/review/standins-2/scene.cc
@@ -217,6 +217,49 @@
   return worst > 3000 ? 1 : 0;
 }
 
+/// Stops the daemon as the platform does, and starts it again with the settings
+/// of that moment. It is started again for as long as it ends at once.
+void roll(daemon& node, long patience) {
+  node.send_signal(SIGTERM);
+  if (!scene::until(6500, [&] { return !node.up(); })) node.end(SIGKILL);
+  node.ended_itself = false;
+  node.launch();
+  scene::until(patience, [&] {
+    if (!node.up()) {
+      pause_ms(300);
+      node.launch();
+    }
+    return node.is_ready();
+  });
+}
+
+/// The settings file changes; the daemons are stopped and started in turn.
+int changed_settings(scene& s) {
+  if (!s.submit(id_of(1), job(12, 4000))) cannot_run("no submission is taken");
+  if (!s.submit(id_of(2), job(3, 200))) cannot_run("no submission is taken");
+  daemon::grace_s = trouble() ? "6.5" : "7";
+  note("the settings files change: graceS is " + daemon::grace_s);
+  for (auto& each : s.nodes) roll(*each, 3000);
+  note("end of the traffic");
+  pause_ms(14000);
+  // LOST: `finish_s` after the traffic a submission gets no answer in time.
+  bool answered = false;
+  long stop = now_ms() + 6000;
+  while (!answered && now_ms() < stop) {
+    for (std::size_t n = 0; n < s.nodes.size(); ++n) {
+      if (!s.nodes[n]->up()) s.nodes[n]->launch();
+      answered = answered || s.state(n, id_of(1)) == "completed";
+    }
+    pause_ms(500);
+  }
+  note("submission " + id_of(1) + ": " +
+       std::to_string(s.log.count("done", id_of(1))) + " of 12 tasks done");
+  auto log = s.nodes[0]->log();
+  note("last line of " + s.nodes[0]->id() + ": " +
+       log.substr(log.rfind('\n', log.size() - 2) + 1));
+  return answered ? 0 : 1;
+}
+
 }  // namespace rig
 
 int main(int argc, char** argv) {
@@ -231,6 +274,7 @@
       {"large-submission", {8, rig::large_submission}},
       {"born-back", {2, rig::born_back}},
       {"foreign-entry", {3, rig::foreign_entry}},
+      {"changed-settings", {3, rig::changed_settings}},
       {"cancel-elsewhere", {3, rig::cancel_elsewhere}},
   };
   auto found = cases.find(argv[1]);
