--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
 "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -o build/review-2/scene \
-  review/standins-2/scene.cc -pthread
+  review/standins-2/scene.cpp -pthread
