Keep the leases of lost workers over changes of the leader, trust no entry alone

Ruled out: a bound by wall clocks, which may jump; a field of the lease record, which earlier versions of the daemon reject. Change: the leader lists workers without contact and the time left of their leases beside its lease record; listed workers get no lease until a list without them is stored. A worker is replaced once its successor has answered; a report requested after the last one is from the present process; nothing starts on a worker whose entry is older than its process.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -152,6 +152,15 @@
   bool reachable = false;
   /// Start time of the process that reported last; 0 before the first report.
   unix_ms incarnation = 0;
+  /// When that report was received.
+  time_point reported_at;
+  /// When the first report of `incarnation` was received, and when the entry
+  /// last changed.
+  time_point incarnation_seen_at;
+  time_point entry_changed_at;
+  /// It has not answered since its last report, or, if it has not reported,
+  /// this or an earlier leader has tried to reach it.
+  bool contact_lost = false;
   /// When the list of workers last named a later process than `incarnation`.
   time_point restart_listed_at;
   lease_bound lease;
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -73,6 +73,10 @@
   /// Ends a job whose final state a previous leader has stored, and stops its
   /// runs.
   void end_job(const model::job_id& id, job_state state, time_point now);
+  /// Takes over what earlier leaders knew of workers without contact: their
+  /// leases end by then, not a full lease after the takeover. Must be called
+  /// before progress is restored.
+  void inherit_lost_workers(std::span<const lost_worker> lost);
   /// Restores the progress of a step that a previous leader stored. Must be
   /// called before the first report.
   /// @return false if the step or one of the tasks does not exist.
@@ -148,6 +152,8 @@
   bool has_unstored_ends(const model::worker_id& id) const;
   /// @return whether the worker is listed or may still have runs.
   bool needs_contact(const model::worker_id& id) const;
+  /// @return the workers that have not answered and may still have runs.
+  std::vector<lost_worker> lost_workers() const;
   /// @return whether anything changed since the last plan that requires a new
   ///   one.
   bool has_changes() const { return has_changes_; }
@@ -228,7 +234,8 @@
   void move_throttled(step_state& step, int index, run_state& run,
                       time_point now);
   void observe_clock(worker_state& worker, const worker_report& report);
-  void end_runs_of_predecessor(const worker_state& successor, time_point now);
+  bool is_replaced(const worker_state& worker) const;
+  void end_runs_of_replaced_workers(time_point now);
   void drain_worker(worker_state& worker, time_point now);
 
   // Placement.
@@ -263,6 +270,7 @@
     leaving,
     other_service,
     closed_domain,
+    entry_outdated,
     label,
     presses_on_serving,
     serving_late,
@@ -305,6 +313,8 @@
   job_order job_order_;
   /// Reserved share of the processor capacity of all reachable workers.
   double utilisation_ = 1;
+  /// When the leases on lost workers end, as known to earlier leaders.
+  std::map<std::string, time_point, std::less<>> inherited_lease_ends_;
   std::vector<order> orders_;
   std::vector<topic_record> job_removals_;
   std::vector<topic_record> progress_removals_;
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -62,6 +62,13 @@
   std::string checkpoint;
 };
 
+/// A worker without contact that may still have runs.
+struct lost_worker {
+  model::worker_id id;
+  /// When no lease on it is valid any more.
+  time_point lease_ends_at;
+};
+
 /// Status of all runs of a worker.
 struct worker_report {
   unix_ms incarnation = 0;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -264,6 +264,12 @@
   }
 }
 
+void scheduler::inherit_lost_workers(std::span<const lost_worker> lost) {
+  for (const auto& worker : lost) {
+    inherited_lease_ends_.emplace(worker.id, worker.lease_ends_at);
+  }
+}
+
 bool scheduler::restore_progress(const step_key& key,
                                  const std::vector<task_record>& tasks,
                                  time_point now) {
@@ -299,7 +305,13 @@
       if (worker == nullptr) {
         worker = std::make_unique<worker_state>();
         worker->entry.info.id = run.worker;
-        worker->lease = lease_bound(takeover_ + options_.previous_leader_lease);
+        auto ends_at = takeover_ + options_.previous_leader_lease;
+        if (auto known = inherited_lease_ends_.find(run.worker);
+            known != inherited_lease_ends_.end()) {
+          ends_at = std::min(ends_at, known->second);
+          worker->contact_lost = true;
+        }
+        worker->lease = lease_bound(ends_at);
       }
       add_run(*step, record.index, *worker, run.number, now);
       auto& added = task.runs.back();
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -124,6 +124,8 @@
       return "other_service";
     case obstacle::closed_domain:
       return "closed_domain";
+    case obstacle::entry_outdated:
+      return "entry_outdated";
     case obstacle::label:
       return "label";
     case obstacle::presses_on_serving:
@@ -219,6 +221,12 @@
       closed_domains_.end()) {
     return obstacle::closed_domain;
   }
+  // The process that reports may be of another kind than the one that the entry
+  // describes, until its own entry is read. A later entry may name any process.
+  if (worker.entry.incarnation != worker.incarnation &&
+      worker.entry_changed_at < worker.incarnation_seen_at) {
+    return obstacle::entry_outdated;
+  }
   if (!label.empty() && std::ranges::find(worker.entry.labels, label) ==
                             worker.entry.labels.end()) {
     return obstacle::label;
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -60,7 +60,6 @@
     worker = std::make_unique<worker_state>();
     worker->lease = lease_bound(takeover_ + options_.previous_leader_lease);
   }
-  bool was_listed = worker->listed;
   bool was_leaving = worker->listed &&
                      worker->entry.info.state == model::instance_state::leaving;
   bool leaving = entry.info.state == model::instance_state::leaving;
@@ -72,6 +71,7 @@
                            " life=", entry.incarnation));
   }
   worker->entry = entry;
+  worker->entry_changed_at = now;
   worker->listed = true;
   if (worker->incarnation != 0 && entry.incarnation > worker->incarnation &&
       worker->lease.clock_known()) {
@@ -82,26 +82,32 @@
     worker->reachable = false;
     worker->restart_listed_at = now;
   }
-  if (!was_listed) {
-    end_runs_of_predecessor(*worker, now);
-  }
   if (leaving && !was_leaving) {
     drain_worker(*worker, now);
   }
   has_changes_ = true;
 }
 
-/// Ends the runs of an earlier worker at the same address; the existence of the
-/// new worker proves that the earlier one is gone.
-void scheduler::end_runs_of_predecessor(const worker_state& successor,
-                                        time_point now) {
-  const auto& info = successor.entry.info;
+/// @return whether another worker has started later at the worker's address and
+///   has answered there under its own id. An entry alone proves nothing:
+///   another writer may name any address.
+bool scheduler::is_replaced(const worker_state& worker) const {
+  const auto& info = worker.entry.info;
+  auto incarnation = std::max(worker.incarnation, worker.entry.incarnation);
+  return std::ranges::any_of(workers_, [&](const auto& each) {
+    const auto& other = *each.second;
+    return &other != &worker && other.reachable &&
+           other.entry.info.address == info.address &&
+           other.entry.info.port == info.port &&
+           other.incarnation > incarnation &&
+           other.reported_at >= worker.reported_at;
+  });
+}
+
+/// Ends the runs of workers whose address belongs to a later worker.
+void scheduler::end_runs_of_replaced_workers(time_point now) {
   for (auto& [id, worker] : workers_) {
-    const auto& other = worker->entry.info;
-    if (worker.get() != &successor && other.address == info.address &&
-        other.port == info.port &&
-        worker->entry.incarnation < successor.entry.incarnation &&
-        !worker->runs.empty()) {
+    if (!worker->reachable && !worker->runs.empty() && is_replaced(*worker)) {
       auto lost = worker->runs;
       end_lost_runs(*worker, lost, "address_reused", now);
     }
@@ -148,7 +154,11 @@
 
 void scheduler::on_unreachable(const model::worker_id& id, time_point now) {
   auto* worker = find_worker(id);
-  if (worker == nullptr || !worker->reachable) {
+  if (worker == nullptr) {
+    return;
+  }
+  worker->contact_lost = true;
+  if (!worker->reachable) {
     return;
   }
   auto remaining = std::chrono::duration_cast<milliseconds>(
@@ -157,6 +167,17 @@
                          " runs=", worker->runs.size(),
                          " lease_left_ms=", remaining.count()));
   worker->reachable = false;
+  end_runs_of_replaced_workers(now);
+}
+
+std::vector<lost_worker> scheduler::lost_workers() const {
+  std::vector<lost_worker> lost;
+  for (const auto& [id, worker] : workers_) {
+    if (worker->contact_lost && !worker->runs.empty()) {
+      lost.push_back({id, worker->lease.expires_at()});
+    }
+  }
+  return lost;
 }
 
 void scheduler::on_lease_ordered(const model::worker_id& id,
@@ -175,7 +196,12 @@
 void scheduler::on_report(const model::worker_id& id,
                           const worker_report& report) {
   auto* worker = find_worker(id);
-  if (worker == nullptr || report.incarnation < worker->incarnation) {
+  // A worker's clock may have been set back before it restarted. An answer to a
+  // request that was sent after the last report is from the present process.
+  bool is_earlier = worker != nullptr &&
+                    report.incarnation < worker->incarnation &&
+                    report.requested_at < worker->reported_at;
+  if (worker == nullptr || is_earlier) {
     return;
   }
   if (report.incarnation != worker->incarnation) {
@@ -195,11 +221,16 @@
   if (!is_outdated) {
     observe_clock(*worker, report);
   }
+  if (!is_outdated) {
+    worker->reported_at = report.received_at;
+    worker->contact_lost = false;
+  }
   if (!worker->reachable && !is_outdated) {
     log_event(absl::StrCat("worker_reachable id=", id,
                            " running=", report.running.size(),
                            " ended=", report.ended.size()));
     worker->reachable = true;
+    end_runs_of_replaced_workers(report.received_at);
     has_changes_ = true;
   }
   for (const auto& end : report.ended) {
@@ -215,6 +246,9 @@
   bool is_first = worker.incarnation == 0;
   bool restarted = !is_first && report.incarnation != worker.incarnation;
   worker.incarnation = report.incarnation;
+  if (is_first || restarted) {
+    worker.incarnation_seen_at = report.received_at;
+  }
   if (restarted) {
     worker.lease.restart(report.clock, report.received_at, options_.given_lease,
                          options_.longest_lease);
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -51,7 +51,26 @@
     take_over();
   }
 
-  /// Replaces the scheduler with a new one, as after a change of leader.
+  /// Replaces the scheduler with a new one, as after a change of leader, and
+  /// restores the stored records of jobs that have not ended.
+  /// @param lost what earlier leaders knew of workers without contact.
+  void take_over(const std::vector<lost_worker>& lost) {
+    take_over();
+    scheduler_->inherit_lost_workers(lost);
+    for (const auto& [id, spec] : jobs) {
+      scheduler_->add_job(spec, now_, wall_start);
+    }
+    for (const auto& [key, value] : records) {
+      if (auto step = parse_step_key(key)) {
+        scheduler_->restore_progress(*step, *decode_tasks(value), now_);
+      }
+    }
+    for (auto& [id, worker] : workers) {
+      scheduler_->update_worker(worker.entry, now_);
+    }
+  }
+
+  /// Replaces the scheduler with a new one that knows the workers only.
   void take_over() {
     scheduler_ = std::make_unique<scheduler>(
         options_, now_, [this](std::string line) { log.push_back(line); });
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -312,6 +312,77 @@
   REQUIRE(f.workers_running("a.0.0.0") == std::vector<std::string>{"w2"});
 }
 
+// Guards against a second run of each task of a worker whose address another
+// writer's entry names: an entry proves nothing.
+TEST_CASE("an entry with the address of a live worker ends no runs") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  auto foreign = f.workers.at("w1").entry;
+  foreign.info.id = "w2";
+  foreign.incarnation = 2000;
+  f.tested_scheduler().update_worker(foreign, f.now());
+  f.plan();
+  // Nor while the live worker does not answer.
+  f.tested_scheduler().on_unreachable("w1", f.now());
+  f.plan();
+  REQUIRE_FALSE(f.logged("run_ended"));
+}
+
+// Guards against tasks that never run again: the clock of a worker's machine
+// was set back between two starts of its process.
+TEST_CASE("a worker that is back with an earlier start time is used again") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  f.advance_time(scheduler_fixture::lease_call_limit + 100ms);
+  f.restart("w1");
+  f.workers.at("w1").entry.incarnation = 500;
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.advance_time(10ms);
+  f.report("w1");
+  f.plan();
+  REQUIRE(f.workers_running("a.0.0.0") == std::vector<std::string>{"w1"});
+}
+
+// Guards against a late answer of an earlier process that is taken for the
+// present one.
+TEST_CASE("an answer requested before a restart was reported is ignored") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  auto requested_at = f.now();
+  f.advance_time(10ms);
+  f.restart("w1");
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.report("w1");
+  f.plan();
+  worker_report late;
+  late.incarnation = 1000;
+  late.clock = 5000ms;
+  late.requested_at = requested_at;
+  late.received_at = f.now() + 10ms;
+  f.tested_scheduler().on_report("w1", late);
+  REQUIRE_FALSE(f.logged("run_ended"));
+}
+
+// Guards against a start on a worker of another kind: a worker that restarted
+// reports before its new entry has been read.
+TEST_CASE("nothing starts on a worker that its entry does not describe yet") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.advance_time(scheduler_fixture::lease_call_limit + 100ms);
+  f.restart("w1");
+  f.report("w1");
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  REQUIRE(f.plan().orders.empty());
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.report("w1");
+  REQUIRE(f.plan().orders.size() == 1);
+}
+
 TEST_CASE("a restarted worker gets its tasks again") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 4000, 0});
@@ -446,6 +517,36 @@
 
 // The progress of a job and its state are stored separately. A leader that dies
 // in between leaves the last failure of a task, but not the end of its job.
+// Guards against tasks of a lost worker that wait for a lease after each change
+// of the leader: planned restarts of leaders kept them from running for 81 s.
+TEST_CASE("changes of the leader do not lengthen the wait for a lost worker") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  f.add_job("a", {scheduler_fixture::step(1, 1000)});
+  f.plan();
+  f.report("w1");
+  auto lost_at = f.now();
+  f.workers.at("w1").unresponsive = true;
+  f.workers.at("w1").running.clear();
+  f.add_worker("w2", {4000, 4000, 0});
+  for (int n = 0; n < 5; ++n) {
+    f.tested_scheduler().on_unreachable("w1", f.now());
+    f.plan();
+    auto lost = f.tested_scheduler().lost_workers();
+    REQUIRE(lost.size() == 1);
+    f.advance_time(1000ms);
+    f.take_over(lost);
+    f.report("w2");
+    f.plan();
+  }
+  while (f.workers.at("w2").running.empty()) {
+    f.advance_time(100ms);
+    f.report("w2");
+    f.plan();
+    REQUIRE(f.now() - lost_at < 6000ms);
+  }
+}
+
 TEST_CASE("a new leader does not start a task that has failed too often") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 4000, 0});
--- a/packages/dispatch/include/dispatch/leader.h
+++ b/packages/dispatch/include/dispatch/leader.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,10 @@
   /// Called when a leader with a higher epoch exists; the callee must destroy
   /// this leader.
   std::function<void(std::string_view noticed_by)> on_superseded;
+  /// Returns whether a lease on the worker may be ordered; always if empty.
+  std::function<bool(std::string_view worker)> may_extend_lease = {};
+  /// Workers that earlier leaders had no contact with.
+  std::vector<batch::lost_worker> lost_workers = {};
 };
 
 /// Schedules jobs during one leadership, from the takeover to its end.
@@ -66,6 +71,9 @@
   void on_worker(const batch::worker_entry& entry);
   void on_worker_removed(const model::worker_id& id);
 
+  /// @return the workers without contact, or nothing before the takeover is
+  ///   complete.
+  std::optional<std::vector<batch::lost_worker>> lost_workers() const;
   /// @return whether the takeover is complete and orders are sent.
   bool active() const;
 
--- a/packages/dispatch/include/dispatch/leadership.h
+++ b/packages/dispatch/include/dispatch/leadership.h
@@ -7,7 +7,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "batch/worker.h"
+#include "dispatch/lost_worker_list.h"
 #include "dispatch/reporter.h"
 #include "dispatch/topic_follower.h"
 #include "external/keyed_store.h"
@@ -145,6 +148,10 @@
     std::function<void()> on_lost;
     /// Called before a claim; returns whether this daemon is able to lead.
     std::function<bool()> can_lead = {};
+    /// Returns the workers that the leader has no contact with, or nothing
+    /// while it does not order workers yet. Asked before each renewal.
+    std::function<std::optional<std::vector<batch::lost_worker>>()>
+        lost_workers = {};
   };
 
   leadership(http::event_loop& loop, external::keyed_store& store,
@@ -162,6 +169,11 @@
   void on_superseded(std::string_view noticed_by);
   bool valid() const;
   model::epoch epoch() const;
+  /// @return whether a lease on the worker may be ordered. Not while a stored
+  ///   list names it as lost, since a successor would rely on that list.
+  bool may_extend_lease(std::string_view worker) const;
+  /// @return the workers that the last leader had no contact with.
+  std::vector<batch::lost_worker> lost_workers() const;
 
  private:
   struct impl;
--- a/packages/dispatch/include/dispatch/worker_links.h
+++ b/packages/dispatch/include/dispatch/worker_links.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "batch/orders.h"
@@ -46,6 +47,8 @@
   std::function<bool()> may_order;
   /// Returns whether tasks may start now.
   std::function<bool()> may_start;
+  /// Returns whether a lease on the worker may be ordered; always if empty.
+  std::function<bool(std::string_view worker)> may_extend_lease = {};
 };
 
 /// The leader's communication with all workers: reports, leases and orders.
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -234,6 +234,7 @@
   auto timing = restore_timer.begin();
   scheduler.set_queues(context.config.policies());
   update_closed_domains();
+  scheduler.inherit_lost_workers(context.lost_workers);
   context.jobs.for_each(
       [this](const auto&, const auto& job) { restore_job(job); });
   int unreadable = 0;
@@ -275,7 +276,8 @@
   links = std::make_unique<worker_links>(
       context.loop, *gateway, scheduler, epoch, options.links,
       link_permissions{context.may_act,
-                       [this] { return context.starts.is_open(boot_now()); }},
+                       [this] { return context.starts.is_open(boot_now()); },
+                       context.may_extend_lease},
       worker_links::listener{[this] { request_plan(); },
                              [this] { on_superseded("worker"); }},
       context.report);
@@ -558,6 +560,13 @@
   }
 }
 
+std::optional<std::vector<batch::lost_worker>> leader::lost_workers() const {
+  if (!impl_->active) {
+    return std::nullopt;
+  }
+  return impl_->scheduler.lost_workers();
+}
+
 bool leader::active() const {
   return impl_->active;
 }
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -5,7 +5,6 @@
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 #include <vector>
 
@@ -17,6 +16,9 @@
 namespace {
 
 constexpr std::string_view lease_key = "leader";
+/// Key of the list of lost workers. A record of its own: earlier versions of
+/// the daemon read the lease record only in its own format.
+constexpr std::string_view lost_workers_key = "lost";
 /// How often the lease is checked; bounds the delay of a claim.
 constexpr std::chrono::milliseconds check_interval{50};
 /// Renewals that are sent or answered with a larger delay are logged.
@@ -142,10 +144,17 @@
         report(report_in),
         timer_lag(report, "behind_timers"),
         lease(options.holder_id, options.lifetime, options.cpu_millis),
+        lost_workers(options.holder_id),
         follower(loop, store,
                  {options.topic, std::chrono::milliseconds(1000),
                   options.renewal_interval - read_lead_time},
-                 {[this](auto, auto value) { on_record_read(value); },
+                 {[this](auto key, auto value) {
+                    if (key == lost_workers_key) {
+                      on_lost_workers_read(value);
+                    } else {
+                      on_record_read(value);
+                    }
+                  },
                   [this](const auto&) { lease.on_loaded(boot_now()); },
                   [this](bool store_reachable) {
                     if (store_reachable) {
@@ -157,6 +166,7 @@
                  report) {}
 
   void on_record_read(std::string_view value);
+  void on_lost_workers_read(std::string_view value);
   void check();
   void append(std::function<void()> done);
   void finish_append();
@@ -172,6 +182,7 @@
   /// Measures the delay with which the event loop runs due timers.
   work_timer timer_lag;
   leader_lease lease;
+  lost_worker_list lost_workers;
   topic_follower follower;
   model::time_point next_check_at = boot_now();
   bool stopped = false;
@@ -211,6 +222,14 @@
   announce_changes();
 }
 
+void leadership::impl::on_lost_workers_read(std::string_view value) {
+  if (auto record = decode_lost_workers(value)) {
+    lost_workers.on_record(*record, boot_now());
+  } else {
+    report.event("leadership", "lost_workers_unreadable");
+  }
+}
+
 /// Reports a gained or lost leadership to the listener.
 void leadership::impl::announce_changes() {
   bool leads = lease.holds() && announced_epoch == lease.epoch();
@@ -264,8 +283,14 @@
   auto sequence = record.sequence;
   pending_sequence = sequence;
   on_append_finished = std::move(done);
-  std::array records = {
-      batch::topic_record{std::string(lease_key), encode(record)}};
+  std::vector<batch::topic_record> records;
+  // Before the lease record, so that a winner has read the list when it begins
+  // to lead.
+  auto lost = handlers.lost_workers ? handlers.lost_workers() : std::nullopt;
+  if (auto list = lost_workers.prepare_record(std::move(lost), now)) {
+    records.push_back({std::string(lost_workers_key), encode(*list)});
+  }
+  records.push_back({std::string(lease_key), encode(record)});
   auto expected_end = follower.next();
   store.append(options.topic, records, {std::nullopt, expected_end},
                [self = shared_from_this(), expected_end, records, now,
@@ -274,7 +299,7 @@
                  if (end.ok()) {
                    external::record_batch own;
                    own.first_offset = expected_end;
-                   own.records.assign(records.begin(), records.end());
+                   own.records = records;
                    self->follower.apply(own);
                  }
                  if (self->pending_sequence != sequence) {
@@ -374,6 +399,14 @@
   return impl_->lease.valid(boot_now());
 }
 
+bool leadership::may_extend_lease(std::string_view worker) const {
+  return impl_->lost_workers.may_extend_lease(worker);
+}
+
+std::vector<batch::lost_worker> leadership::lost_workers() const {
+  return impl_->lost_workers.workers();
+}
+
 model::epoch leadership::epoch() const {
   return impl_->lease.epoch();
 }
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -119,7 +119,11 @@
           report),
       leadership_(loop, store, leadership_options_of(settings),
                   {[this](model::epoch epoch) { start_leader(epoch); },
-                   [this] { stop_leader(); }, [this] { return can_lead(); }},
+                   [this] { stop_leader(); }, [this] { return can_lead(); },
+                   [this] {
+                     return leader_ == nullptr ? std::nullopt
+                                               : leader_->lost_workers();
+                   }},
                   report) {}
 
 scheduling_daemon::~scheduling_daemon() = default;
@@ -306,7 +310,11 @@
                          starts_,
                          [this](std::string_view noticed_by) {
                            leadership_.on_superseded(noticed_by);
-                         }};
+                         },
+                         [this](std::string_view worker) {
+                           return leadership_.may_extend_lease(worker);
+                         },
+                         leadership_.lost_workers()};
   jobs_follower_.set_read_pause(leader_jobs_pause);
   worker_follower_.set_read_pause(leader_workers_pause);
   set_read_wait(leader_read_wait);
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -81,6 +81,7 @@
         options(options_in),
         may_order(std::move(permissions_in.may_order)),
         may_start(std::move(permissions_in.may_start)),
+        may_extend_lease(std::move(permissions_in.may_extend_lease)),
         handlers(std::move(handlers_in)),
         report(report_in),
         report_timer(report, "take_report") {}
@@ -114,6 +115,7 @@
   link_options options;
   std::function<bool()> may_order;
   std::function<bool()> may_start;
+  std::function<bool(std::string_view)> may_extend_lease;
   listener handlers;
   reporter report;
   work_timer report_timer;
@@ -143,11 +145,13 @@
 }
 
 /// @param timeout limit of the call that carries the lease.
-/// @return deadline on the worker's clock, or 0 if the clock is not known.
+/// @return deadline on the worker's clock, or 0 if the clock is not known or no
+///   lease may be ordered.
 std::chrono::milliseconds worker_links::impl::extend_lease(
     const model::worker_id& id, std::chrono::milliseconds timeout) {
   const auto* lease = scheduler.lease_of(id);
-  if (lease == nullptr || !lease->clock_known()) {
+  if (lease == nullptr || !lease->clock_known() ||
+      (may_extend_lease && !may_extend_lease(id))) {
     return std::chrono::milliseconds(0);
   }
   auto now = boot_now();
@@ -230,6 +234,9 @@
   }
   if (request.deadline.count() > 0) {
     request.wait = wait;
+  } else if (link.has_reported && link.failures == 0) {
+    // No lease may be ordered until the next renewal of the leadership.
+    request.wait = options.retry_pause;
   }
   auto sent = boot_now();
   gateway.report(link.entry.info, request, request.wait + options.answer_limit,
@@ -302,8 +309,13 @@
     hold_start(order, attempt, maybe_sent);
     return;
   }
-  external::start_permit start{
-      permit(), extend_lease(order.worker, options.answer_limit)};
+  auto deadline = extend_lease(order.worker, options.answer_limit);
+  if (deadline.count() == 0) {
+    // A run without a lease would end at once.
+    hold_start(order, attempt, maybe_sent);
+    return;
+  }
+  external::start_permit start{permit(), deadline};
   start.call.may_send = [self = shared_from_this(), order] {
     return !self->stopped && self->may_order() && self->may_start() &&
            self->scheduler.start_obstacle(order, boot_now()).empty();
