Bound what is stored, hold cancels everywhere, close silent connections

A job counted as begun once its start was planned. Fractions in bounds kept daemons from starting. A gang that never fits took seconds of a plan.

--- a/apps/vanillaladderd/src/main.cc
+++ b/apps/vanillaladderd/src/main.cc
@@ -26,7 +26,7 @@
 Usage:
   vanillaladderd --settings FILE
   vanillaladderd --settings FILE --check
-  vanillaladderd schedule [--settings FILE] [--check]
+  vanillaladderd schedule [--settings FILE] [--check] [--set SETTING]...
   vanillaladderd (-h | --help)
   vanillaladderd --version
 
@@ -35,6 +35,8 @@
 Options:
   --settings FILE  Settings in TOML; `schedule` looks in the file that the
                    variable VANILLALADDER_SETTINGS names if none is given.
+  --set SETTING    SECTION.KEY=VALUE, goes before the same key in the file;
+                   without a value the key counts as not set.
   --check          Only check the settings.
   -h --help        Show this text.
   --version        Show the version.
@@ -146,12 +148,13 @@
   return 0;
 }
 
-int schedule(std::string path, bool only_check) {
+int schedule(std::string path, const std::vector<std::string>& overrides,
+             bool only_check) {
   if (path.empty()) {
     const char* env_path = std::getenv("VANILLALADDER_SETTINGS");
     path = env_path == nullptr ? "" : env_path;
   }
-  auto settings = dispatch::load_settings(path);
+  auto settings = dispatch::load_settings(path, overrides);
   if (!settings.ok()) {
     std::cerr << settings.status().message() << "\n";
     return exit_invalid;
@@ -163,7 +166,9 @@
   auto arguments = docopt::docopt(usage, words, true, "vanillaladderd 0.1.0");
   if (arguments["schedule"].asBool()) {
     const auto& file = arguments["--settings"];
-    return schedule(file ? file.asString() : "", arguments["--check"].asBool());
+    return schedule(file ? file.asString() : "",
+                    arguments["--set"].asStringList(),
+                    arguments["--check"].asBool());
   }
   auto settings = runtime::load_settings(arguments["--settings"].asString());
   if (!settings.ok()) {
--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -3,6 +3,8 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -85,7 +87,8 @@
   std::vector<task_state> tasks;
   int completed_tasks = 0;
   int waiting_tasks = 0;
-  bool dirty = false;
+  /// Parts of the progress that must be stored with the next commit.
+  std::set<int> dirty_parts;
   /// Since when some of its tasks have waited without interruption.
   std::optional<time_point> waiting_since;
   /// When all dependencies were complete and tasks could start.
@@ -96,6 +99,12 @@
   time_point wait_logged_at;
 
   bool complete() const { return completed_tasks == spec->count; }
+  /// Notes that the progress of a task must be stored.
+  void mark_dirty(int task) { dirty_parts.insert(progress_part_of(task)); }
+  /// @return tasks of a part of the progress.
+  std::span<const task_state> tasks_of_part(int part) const;
+  /// @return whether a task of the part has been started.
+  bool has_progress(int part) const;
 };
 
 struct occurrence_state {
--- a/packages/batch/include/batch/job_directory.h
+++ b/packages/batch/include/batch/job_directory.h
@@ -25,7 +25,15 @@
     job_status status;
     /// Cancelled by its caller; some of its tasks may still be running.
     bool cancelled = false;
+    /// When it was cancelled; 0 if it was not, or by an earlier version.
+    unix_ms cancelled_at = 0;
 
+    /// @return whether the job is known to have been submitted. The
+    /// cancellation
+    ///   of a job may be stored before the job is.
+    bool is_submitted() const {
+      return spec != nullptr || status.state != job_state::queued;
+    }
     /// @return the state that is shown to callers.
     job_state visible_state() const;
   };
@@ -66,7 +74,7 @@
  private:
   void remove(record_kind kind, const model::job_id& id);
   change add_job(const model::job_id& id, std::string_view value);
-  change cancel(const model::job_id& id);
+  change cancel(const model::job_id& id, std::string_view value);
   change set_status(const model::job_id& id, std::string_view value);
   void adjust_pending(const entry& counted, int delta);
   static bool is_pending(const entry& counted);
--- a/packages/batch/include/batch/job_records.h
+++ b/packages/batch/include/batch/job_records.h
@@ -64,6 +64,29 @@
 std::string to_string(const step_key& key);
 std::optional<step_key> parse_step_key(std::string_view text);
 
+/// Tasks whose progress shares one record. With the longest ids and checkpoints
+/// that decoders let pass, a record stays below half of what a store takes.
+constexpr int tasks_per_progress_record = 128;
+
+/// Key of a record with the progress of consecutive tasks of a step.
+struct progress_key {
+  step_key step;
+  /// Number of the record among those of its step. Records of earlier versions
+  /// have the key of part 0 and hold all tasks.
+  int part = 0;
+
+  bool operator==(const progress_key&) const = default;
+};
+
+/// @return number of the record that holds the progress of a task.
+constexpr int progress_part_of(int task) {
+  return task / tasks_per_progress_record;
+}
+
+/// @return "ID/K/STEP" for part 0, otherwise "ID/K/STEP/PART".
+std::string to_string(const progress_key& key);
+std::optional<progress_key> parse_progress_key(std::string_view text);
+
 std::string encode(const job_spec& spec);
 std::string encode(const job_status& status);
 std::string encode(const std::vector<task_record>& tasks);
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -70,6 +70,8 @@
   void add_job(std::shared_ptr<const job_spec> spec, time_point now,
                unix_ms wall);
   void cancel_job(const model::job_id& id, time_point now);
+  /// Restores that a job has begun, as a previous leader stored.
+  void restore_begun(const model::job_id& id);
   /// Ends a job whose final state a previous leader has stored, and stops its
   /// runs.
   void end_job(const model::job_id& id, job_state state, time_point now);
@@ -77,13 +79,14 @@
   /// leases end by then, not a full lease after the takeover. Must be called
   /// before progress is restored.
   void inherit_lost_workers(std::span<const lost_worker> lost);
-  /// Restores the progress of a step that a previous leader stored. Must be
-  /// called before the first report.
+  /// Restores a record of the progress of a step that a previous leader stored.
+  /// Must be called before the first report.
   /// @return false if the step or one of the tasks does not exist.
   bool restore_progress(const step_key& key,
-                        const std::vector<task_record>& tasks, time_point now);
+                        const std::vector<task_record>& tasks, time_point now,
+                        int part = 0);
   /// Removes the stored progress of a step whose job no longer exists.
-  void remove_progress(const step_key& key);
+  void remove_progress(const progress_key& key);
   /// Removes the record of a job that was submitted again after it had ended.
   void remove_duplicate_job(const model::job_id& id);
   /// Removes the stored state of a job whose retention time has passed.
@@ -183,6 +186,7 @@
   void complete_job_if_done(job_entry& job);
   bool is_ready(const step_state& step) const;
   void set_state(job_entry& job, job_state state);
+  void mark_begun(job_entry& job);
   void stop_all_runs(job_entry& job, time_point now);
   void purge_ended(commit& out);
 
@@ -260,6 +264,8 @@
                        std::vector<order>& orders);
   class candidates;
   bool place_gang(step_state& step, time_point now, std::vector<order>& orders);
+  bool has_room_for_gang(const step_state& step, time_point now,
+                         std::string_view rack) const;
   worker_state* choose_worker(const step_state& step, const task_state& task,
                               time_point now, std::string_view rack,
                               bool trusted_only);
--- a/packages/batch/src/job_directory.cc
+++ b/packages/batch/src/job_directory.cc
@@ -1,5 +1,7 @@
 #include "batch/job_directory.h"
 
+#include <absl/strings/numbers.h>
+
 namespace vanillaladder::batch {
 
 job_state job_directory::entry::visible_state() const {
@@ -25,7 +27,7 @@
     case record_kind::job:
       return add_job(id, value);
     case record_kind::cancellation:
-      return cancel(id);
+      return cancel(id, value);
     case record_kind::state:
       return set_status(id, value);
   }
@@ -64,8 +66,14 @@
                                      : change::job_added;
 }
 
-job_directory::change job_directory::cancel(const model::job_id& id) {
+job_directory::change job_directory::cancel(const model::job_id& id,
+                                            std::string_view value) {
   auto& job = entries_[id];
+  // Earlier versions wrote "1", a time long ago.
+  if (!absl::SimpleAtoi(absl::string_view(value.data(), value.size()),
+                        &job.cancelled_at)) {
+    job.cancelled_at = 0;
+  }
   if (job.cancelled || has_ended(job.status.state)) {
     return change::none;
   }
--- a/packages/batch/src/job_records.cc
+++ b/packages/batch/src/job_records.cc
@@ -157,6 +157,36 @@
   return key;
 }
 
+std::string to_string(const progress_key& key) {
+  auto text = to_string(key.step);
+  if (key.part > 0) {
+    absl::StrAppend(&text, "/", key.part);
+  }
+  return text;
+}
+
+std::optional<progress_key> parse_progress_key(std::string_view text) {
+  if (auto step = parse_step_key(text)) {
+    return progress_key{std::move(*step), 0};
+  }
+  auto slash = text.rfind('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  progress_key key;
+  auto step = parse_step_key(text.substr(0, slash));
+  auto part = text.substr(slash + 1);
+  if (!step || !absl::SimpleAtoi(absl::string_view(part.data(), part.size()),
+                                 &key.part)) {
+    return std::nullopt;
+  }
+  key.step = std::move(*step);
+  if (key.part < 1 || to_string(key) != text) {
+    return std::nullopt;
+  }
+  return key;
+}
+
 std::string encode(const job_spec& spec) {
   wire::job out;
   out.queue = spec.queue;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -22,6 +22,21 @@
   return *step->tasks[static_cast<std::size_t>(index)].find_run(number);
 }
 
+std::span<const task_state> step_state::tasks_of_part(int part) const {
+  auto first = static_cast<std::size_t>(part) * tasks_per_progress_record;
+  if (first >= tasks.size()) {
+    return {};
+  }
+  return std::span(tasks).subspan(
+      first,
+      std::min<std::size_t>(tasks_per_progress_record, tasks.size() - first));
+}
+
+bool step_state::has_progress(int part) const {
+  return std::ranges::any_of(
+      tasks_of_part(part), [](const auto& task) { return task.last_run > 0; });
+}
+
 bool occurrence_state::complete() const {
   return std::ranges::all_of(steps, &step_state::complete);
 }
@@ -230,6 +245,24 @@
   has_changes_ = true;
 }
 
+/// Notes that a worker has confirmed a start of one of the job's tasks. A start
+/// that is only planned may never reach its worker.
+void scheduler::mark_begun(job_entry& job) {
+  if (job.state == job_state::queued) {
+    // Stored with the next commit; nothing waits for it.
+    bool had_changes = has_changes_;
+    set_state(job, job_state::running);
+    has_changes_ = had_changes;
+  }
+}
+
+void scheduler::restore_begun(const model::job_id& id) {
+  auto* job = find_job(id);
+  if (job != nullptr && job->state == job_state::queued) {
+    job->state = job_state::running;
+  }
+}
+
 void scheduler::cancel_job(const model::job_id& id, time_point now) {
   auto* job = find_job(id);
   if (job == nullptr || job->cancelled) {
@@ -272,7 +305,7 @@
 
 bool scheduler::restore_progress(const step_key& key,
                                  const std::vector<task_record>& tasks,
-                                 time_point now) {
+                                 time_point now, int part) {
   auto* job = find_job(key.job);
   if (job == nullptr) {
     return false;
@@ -290,9 +323,14 @@
       return false;
     }
     auto& task = step->tasks[static_cast<std::size_t>(record.index)];
-    if (record.last_run > 0 && job->state == job_state::queued) {
-      job->state = job_state::running;
-      job->state_dirty = true;
+    if (progress_part_of(record.index) != part) {
+      // Of a version that stored all tasks in one record, which is about to be
+      // replaced.
+      step->mark_dirty(part);
+      step->mark_dirty(record.index);
+    }
+    if (record.done || record.failures > 0) {
+      mark_begun(*job);
     }
     task.last_run = record.last_run;
     task.failures = record.failures;
@@ -341,7 +379,7 @@
   return true;
 }
 
-void scheduler::remove_progress(const step_key& key) {
+void scheduler::remove_progress(const progress_key& key) {
   progress_removals_.push_back({to_string(key), ""});
   has_changes_ = true;
 }
@@ -431,7 +469,7 @@
   if (task.is_waiting()) {
     ++step.waiting_tasks;
   }
-  step.dirty = true;
+  step.mark_dirty(index);
   has_changes_ = true;
 }
 
@@ -444,6 +482,10 @@
     return;
   }
   auto& worker = *run->worker;
+  bool has_run = reason == end_reason::done || reason == end_reason::failed;
+  if (has_run) {
+    mark_begun(*step.job);
+  }
   auto elapsed =
       std::chrono::duration_cast<milliseconds>(now - run->ordered_at);
   log_event(
@@ -497,7 +539,7 @@
       log_event(absl::StrCat(
           "gang_member_done task=", to_string(task_key{step.key, n}),
           " by=another_member"));
-      step.dirty = true;
+      step.mark_dirty(n);
     }
     complete_task(step, n, now);
   }
@@ -554,15 +596,15 @@
 
 namespace {
 
-std::vector<task_record> records_of(const detail::step_state& step) {
+std::vector<task_record> records_of(const detail::step_state& step, int part) {
   std::vector<task_record> records;
-  for (std::size_t n = 0; n < step.tasks.size(); ++n) {
-    const auto& task = step.tasks[n];
+  int index = part * tasks_per_progress_record;
+  for (const auto& task : step.tasks_of_part(part)) {
+    task_record record;
+    record.index = index++;
     if (task.last_run == 0) {
       continue;
     }
-    task_record record;
-    record.index = static_cast<int>(n);
     record.done = task.done;
     record.last_run = task.last_run;
     record.failures = task.failures;
@@ -586,10 +628,15 @@
     }
     for (const auto& occurrence : job->occurrences) {
       for (const auto& step : occurrence.steps) {
-        bool stored = std::ranges::any_of(
-            step.tasks, [](const auto& task) { return task.last_run > 0; });
-        if (stored) {
-          out.progress.push_back({to_string(step.key), ""});
+        bool any = false;
+        for (int part = progress_part_of(step.spec->count - 1); part >= 0;
+             --part) {
+          any = any || step.has_progress(part);
+          // Part 0 may hold all tasks, as written by an earlier version.
+          if (step.has_progress(part) || (part == 0 && any)) {
+            out.progress.push_back(
+                {to_string(progress_key{step.key, part}), ""});
+          }
         }
       }
     }
@@ -616,11 +663,14 @@
   for (auto& [id, job] : jobs_) {
     for (auto& occurrence : job->occurrences) {
       for (auto& step : occurrence.steps) {
-        if (step.dirty) {
-          step.dirty = false;
-          out.progress.push_back(
-              {to_string(step.key), encode(records_of(step))});
+        // Part 0 last: it may replace a record that holds all tasks, and a
+        // commit may be stored in several calls.
+        for (auto part = step.dirty_parts.rbegin();
+             part != step.dirty_parts.rend(); ++part) {
+          out.progress.push_back({to_string(progress_key{step.key, *part}),
+                                  encode(records_of(step, *part))});
         }
+        step.dirty_parts.clear();
       }
     }
     if (job->state_dirty) {
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -491,10 +491,7 @@
   units_spent_ += start_cost_units;
   auto& task = step.tasks[static_cast<std::size_t>(index)];
   add_run(step, index, worker, number, now);
-  step.dirty = true;
-  if (step.job->state == job_state::queued) {
-    set_state(*step.job, job_state::running);
-  }
+  step.mark_dirty(index);
   task_key key{step.key, index};
   log_event(absl::StrCat("run_start task=", to_string(key), " run=", number,
                          " worker=", worker.entry.info.id,
@@ -507,6 +504,46 @@
                                step.spec->checkpoints ? task.checkpoint : ""});
 }
 
+/// @return whether the free room of the workers might hold all tasks of a gang.
+///   Examines each worker once, while placing examines all of them for each
+///   task: a gang of 50,000 tasks that never fits took seconds of each plan.
+bool scheduler::has_room_for_gang(const step_state& step, time_point now,
+                                  std::string_view rack) const {
+  const auto& spec = *step.spec;
+  auto need = spec.required_resources;
+  if (spec.best_effort) {
+    need.cpu_millis = 0;
+  }
+  std::int64_t room = 0;
+  for (const auto& [id, worker] : workers_) {
+    if (!rack.empty() && worker->entry.info.rack != rack) {
+      continue;
+    }
+    auto found = obstacle_at(*worker, step, step.tasks.front(), now);
+    if (found != obstacle::none && found != obstacle::not_trusted) {
+      continue;
+    }
+    auto free = worker->free_resources();
+    std::int64_t fitting = spec.count;
+    auto limit = [&fitting](std::int64_t available, std::int64_t per_task) {
+      if (per_task > 0) {
+        fitting = std::min(fitting, available / per_task);
+      }
+    };
+    limit(free.cpu_millis, need.cpu_millis);
+    limit(free.memory_mib, need.memory_mib);
+    limit(free.accelerators, need.accelerators);
+    if (spec.per_worker_limit > 0) {
+      fitting = std::min<std::int64_t>(fitting, spec.per_worker_limit);
+    }
+    room += std::max<std::int64_t>(fitting, 0);
+    if (room >= spec.count) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool scheduler::place_gang(step_state& step, time_point now,
                            std::vector<order>& orders) {
   int number = 0;
@@ -541,6 +578,9 @@
     }
   }
   for (const auto& [rack, trusted_only] : tries) {
+    if (!has_room_for_gang(step, now, rack)) {
+      continue;
+    }
     std::vector<worker_state*> chosen;
     for (std::size_t n = 0; n < step.tasks.size(); ++n) {
       auto* worker =
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -312,6 +312,7 @@
       continue;
     }
     run->incarnation = worker.incarnation;
+    mark_begun(*step->job);
     check_progress(*step, row.task.index, *run, row.progress, report);
     run->measurement = row.measurement;
     if (run->phase == run_phase::starting) {
@@ -384,6 +385,7 @@
   }
   switch (outcome) {
     case start_outcome::confirmed:
+      mark_begun(*step->job);
       run->phase = run_phase::running;
       run->is_answered = true;
       run->answered_at = now;
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -61,8 +61,9 @@
       scheduler_->add_job(spec, now_, wall_start);
     }
     for (const auto& [key, value] : records) {
-      if (auto step = parse_step_key(key)) {
-        scheduler_->restore_progress(*step, *decode_tasks(value), now_);
+      if (auto parsed = parse_progress_key(key)) {
+        scheduler_->restore_progress(parsed->step, *decode_tasks(value), now_,
+                                     parsed->part);
       }
     }
     for (auto& [id, worker] : workers) {
--- a/packages/dispatch/include/dispatch/append_batcher.h
+++ b/packages/dispatch/include/dispatch/append_batcher.h
@@ -32,7 +32,7 @@
 
   /// @param loop must outlive this, as must `store`.
   append_batcher(http::event_loop& loop, external::keyed_store& store,
-                 std::string topic);
+                 std::string topic, const external::store_limits& limits = {});
   ~append_batcher();
   append_batcher(const append_batcher&) = delete;
   append_batcher& operator=(const append_batcher&) = delete;
--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -40,6 +41,9 @@
   /// The same for a job that runs until it is cancelled.
   static constexpr std::chrono::milliseconds max_shown_age_long_running{2000};
   static constexpr std::chrono::milliseconds max_refresh_time{300};
+  /// Maximum age of a count of pending jobs; a copy that may be older when it
+  /// is shown is read first.
+  static constexpr std::chrono::milliseconds max_pending_age{2000};
 
   /// @param loop must outlive the service, as must `store`, `jobs`, `config`
   ///   and `follower`.
@@ -49,7 +53,7 @@
               topic_follower& follower,
               std::function<void(std::string_view key, std::string_view value)>
                   on_stored_record,
-              reporter report);
+              reporter report, const external::store_limits& limits = {});
 
   /// @return the queue that a request addresses, or null if there is none.
   const queue_route* find_queue(std::string_view host,
@@ -60,6 +64,8 @@
   /// @return whether an append sent now is likely to be answered.
   bool store_responsive() const;
   bool configured() const { return config_->has_config(); }
+  /// @return the largest record that the store takes.
+  std::size_t max_record_bytes() const { return max_record_bytes_; }
   std::size_t max_body_bytes() const {
     return config_->config().max_body_bytes;
   }
@@ -67,10 +73,18 @@
   void submit(const queue_route& queue, batch::job_spec spec,
               std::function<void(submit_result)> done);
   void show(const model::job_id& id, std::function<void(job_answer)> done);
+  /// Cancels a job. The cancellation of an unknown id is stored too, so that it
+  /// holds if a submission at another daemon takes effect later.
   void cancel(const model::job_id& id, std::function<void(cancel_result)> done);
-  int pending(const queue_route& queue) const;
+  /// Counts the queue's jobs of which no task has started.
+  /// @param done receives the count, or nothing if it is not known: the copy is
+  ///   old and the store does not answer.
+  void pending(const std::string& queue,
+               std::function<void(std::optional<int>)> done);
 
  private:
+  const batch::job_directory::entry* find_submitted(
+      const model::job_id& id) const;
   bool is_current(const batch::job_directory::entry& job) const;
   void show_known_job(const model::job_id& id,
                       const std::function<void(job_answer)>& done) const;
@@ -86,6 +100,7 @@
   topic_follower* follower_;
   std::function<void(std::string_view, std::string_view)> on_stored_record_;
   reporter report_;
+  std::size_t max_record_bytes_;
   submission_outcomes outcomes_;
 };
 
--- a/packages/dispatch/include/dispatch/leader.h
+++ b/packages/dispatch/include/dispatch/leader.h
@@ -25,6 +25,7 @@
 struct leader_options {
   batch::scheduler_options scheduling;
   link_options links;
+  external::store_limits store_limits;
   /// Maximum time between two plans when nothing changes.
   std::chrono::milliseconds max_plan_interval{100};
   /// Minimum time between two plans; changes that arrive in between share one
--- a/packages/dispatch/include/dispatch/settings.h
+++ b/packages/dispatch/include/dispatch/settings.h
@@ -4,9 +4,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
+#include "external/keyed_store.h"
+
 namespace vanillaladder::dispatch {
 
 /// An IP address and a port.
@@ -27,8 +30,9 @@
   endpoint callers;
   endpoint ready;
   endpoint metrics;
-  /// Section `[store]`.
+  /// Section `[store]`: its address, and what it takes in a record and a call.
   endpoint store;
+  external::store_limits store_limits;
   /// Section `[workers]`: maximum lease that a worker grants, and how early a
   /// scheduled run may start.
   std::chrono::milliseconds longest_lease{6000};
@@ -55,10 +59,14 @@
 ///   file.
 /// @return `InvalidArgument` with one line per problem; unknown keys are
 ///   problems.
-absl::StatusOr<daemon_settings> parse_settings(std::string_view text,
-                                               std::string_view name);
+/// @param overrides values "SECTION.KEY=VALUE" that go before those of the
+///   text; one without a value removes the key.
+absl::StatusOr<daemon_settings> parse_settings(
+    std::string_view text, std::string_view name,
+    std::span<const std::string> overrides = {});
 /// Reads settings from a file.
 /// @return an error as of `parse_settings`, or `NotFound`.
-absl::StatusOr<daemon_settings> load_settings(const std::string& path);
+absl::StatusOr<daemon_settings> load_settings(
+    const std::string& path, std::span<const std::string> overrides = {});
 
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/include/dispatch/submission_outcomes.h
+++ b/packages/dispatch/include/dispatch/submission_outcomes.h
@@ -16,6 +16,8 @@
   refused,
   /// The job may or may not have been stored.
   unknown,
+  /// The job is not stored: its record is larger than the store takes.
+  too_large,
 };
 
 /// Remembers the jobs whose submission has no known outcome yet, so that a
--- a/packages/dispatch/src/append_batcher.cc
+++ b/packages/dispatch/src/append_batcher.cc
@@ -1,5 +1,6 @@
 #include "dispatch/append_batcher.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -18,8 +19,11 @@
   };
 
   impl(http::event_loop& loop_in, external::keyed_store& store_in,
-       std::string topic_in)
-      : loop(loop_in), store(store_in), topic(std::move(topic_in)) {}
+       std::string topic_in, const external::store_limits& limits)
+      : loop(loop_in),
+        store(store_in),
+        topic(std::move(topic_in)),
+        max_bytes(std::min(max_batch_bytes, limits.max_call_bytes)) {}
 
   void send();
   void unblock(std::int64_t number);
@@ -27,6 +31,7 @@
   http::event_loop& loop;
   external::keyed_store& store;
   std::string topic;
+  std::size_t max_bytes;
   std::deque<entry> queued;
   /// Sending times of the appends in flight, by their numbers.
   std::map<std::int64_t, model::time_point> in_flight;
@@ -43,8 +48,8 @@
   std::size_t bytes = 0;
   while (!queued.empty()) {
     auto& next = queued.front();
-    bytes += next.record.key.size() + next.record.value.size();
-    if (!records.empty() && bytes > max_batch_bytes) {
+    bytes += external::record_bytes(next.record);
+    if (!records.empty() && bytes > max_bytes) {
       break;
     }
     records.push_back(std::move(next.record));
@@ -87,8 +92,9 @@
 }
 
 append_batcher::append_batcher(http::event_loop& loop,
-                               external::keyed_store& store, std::string topic)
-    : impl_(std::make_shared<impl>(loop, store, std::move(topic))) {}
+                               external::keyed_store& store, std::string topic,
+                               const external::store_limits& limits)
+    : impl_(std::make_shared<impl>(loop, store, std::move(topic), limits)) {}
 
 append_batcher::~append_batcher() {
   impl_->stopped = true;
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -17,14 +17,23 @@
     const batch::job_directory& jobs, const config_view& config,
     topic_follower& follower,
     std::function<void(std::string_view, std::string_view)> on_stored_record,
-    reporter report)
+    reporter report, const external::store_limits& limits)
     : loop_(&loop),
-      appends_(loop, store, std::string(batch::jobs_topic)),
+      appends_(loop, store, std::string(batch::jobs_topic), limits),
       jobs_(&jobs),
       config_(&config),
       follower_(&follower),
       on_stored_record_(std::move(on_stored_record)),
-      report_(report) {}
+      report_(report),
+      max_record_bytes_(limits.max_record_bytes) {}
+
+/// @return the job, or null if no record of it is known. A cancellation alone
+///   does not count.
+const batch::job_directory::entry* job_service::find_submitted(
+    const model::job_id& id) const {
+  const auto* found = jobs_->find(id);
+  return found != nullptr && found->is_submitted() ? found : nullptr;
+}
 
 const queue_route* job_service::find_queue(std::string_view host,
                                            std::string_view path) const {
@@ -51,7 +60,7 @@
 
 void job_service::submit(const queue_route& queue, batch::job_spec spec,
                          std::function<void(submit_result)> done) {
-  if (const auto* found = jobs_->find(spec.id); found != nullptr) {
+  if (const auto* found = find_submitted(spec.id); found != nullptr) {
     report_.routine(
         "desk",
         absl::StrCat("submit_repeated id=", spec.id, " state=",
@@ -77,6 +86,16 @@
   batch::topic_record record{
       to_string(batch::job_record_key{batch::record_kind::job, spec.id}),
       encode(spec)};
+  if (external::record_bytes(record) > max_record_bytes_) {
+    report_.count("vanillaladder_submissions_refused_total", "reason",
+                  "record_too_large");
+    report_.routine("desk", absl::StrCat("submit_refused id=", spec.id,
+                                         " reason=record_too_large bytes=",
+                                         external::record_bytes(record),
+                                         " limit=", max_record_bytes_));
+    done(submit_result::too_large);
+    return;
+  }
   outcomes_.begin(spec.id);
   appends_.add(
       record, [this, record, id = spec.id, sent = boot_now(),
@@ -119,7 +138,7 @@
 
 void job_service::show(const model::job_id& id,
                        std::function<void(job_answer)> done) {
-  if (const auto* found = jobs_->find(id); found != nullptr) {
+  if (const auto* found = find_submitted(id); found != nullptr) {
     if (is_current(*found) || !store_responsive()) {
       show_known_job(id, done);
       return;
@@ -137,7 +156,7 @@
   }
   // The job may be newer than the local copy of the topic.
   follower_->refresh([this, id, done = std::move(done)](bool fresh) {
-    if (const auto* found = jobs_->find(id); found != nullptr) {
+    if (const auto* found = find_submitted(id); found != nullptr) {
       done({job_answer::kind::known, found->visible_state()});
       return;
     }
@@ -151,7 +170,7 @@
 void job_service::show_known_job(
     const model::job_id& id,
     const std::function<void(job_answer)>& done) const {
-  const auto* found = jobs_->find(id);
+  const auto* found = find_submitted(id);
   if (found == nullptr) {
     done({job_answer::kind::unavailable, {}});
     return;
@@ -161,25 +180,31 @@
 
 void job_service::cancel(const model::job_id& id,
                          std::function<void(cancel_result)> done) {
-  if (jobs_->find(id) != nullptr) {
+  if (find_submitted(id) != nullptr) {
     cancel_known_job(id, std::move(done));
     return;
   }
   follower_->refresh([this, id, done = std::move(done)](bool fresh) mutable {
-    if (jobs_->find(id) != nullptr) {
+    if (find_submitted(id) != nullptr) {
       cancel_known_job(id, std::move(done));
       return;
     }
-    if (outcomes_.refusal_of(id) == submit_result::unknown) {
-      // A submission sent by this daemon may still be stored. It is cancelled
-      // whether or not it will be.
-      report_.routine("desk", absl::StrCat("cancel_unresolved id=", id));
-      store_cancellation(id, std::move(done));
-      return;
-    }
     report_.routine("desk",
                     absl::StrCat("cancel_unknown id=", id, " fresh=", fresh));
-    done(fresh ? cancel_result::no_such_job : cancel_result::unavailable);
+    // A submission may be under way at any daemon and take effect later. One of
+    // this daemon is known, so that its caller is told that it is cancelled.
+    auto stored = outcomes_.refusal_of(id) == submit_result::unknown
+                      ? cancel_result::cancelled
+                      : cancel_result::no_such_job;
+    if (const auto* found = jobs_->find(id);
+        found != nullptr && found->cancelled) {
+      done(stored);
+      return;
+    }
+    store_cancellation(
+        id, [stored, done = std::move(done)](cancel_result result) {
+          done(result == cancel_result::cancelled ? stored : result);
+        });
   });
 }
 
@@ -196,7 +221,7 @@
                                      std::function<void(cancel_result)> done) {
   batch::topic_record record{
       to_string(batch::job_record_key{batch::record_kind::cancellation, id}),
-      "1"};
+      std::to_string(wall_now())};
   appends_.add(record, [this, record, id, done = std::move(done)](
                            absl::StatusOr<model::offset> end) {
     if (end.ok()) {
@@ -212,8 +237,27 @@
   });
 }
 
-int job_service::pending(const queue_route& queue) const {
-  return jobs_->pending(queue.name);
+void job_service::pending(const std::string& queue,
+                          std::function<void(std::optional<int>)> done) {
+  auto count = [this, queue]() -> std::optional<int> {
+    if (boot_now() - follower_->current_as_of() >= max_pending_age) {
+      return std::nullopt;
+    }
+    return jobs_->pending(queue);
+  };
+  if (auto known = count()) {
+    done(known);
+    return;
+  }
+  auto answer = std::make_shared<std::function<void(std::optional<int>)>>(
+      std::move(done));
+  auto answer_once = [count, answer](bool) {
+    if (auto pending = std::exchange(*answer, nullptr)) {
+      pending(count());
+    }
+  };
+  loop_->call_after(max_refresh_time, [answer_once] { answer_once(false); });
+  follower_->refresh(answer_once);
 }
 
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -46,9 +46,10 @@
                   }),
         progress_writer(context.loop, context.store,
                         std::string(batch::progress_topic), "leader", epoch,
-                        context.may_act, context.report),
+                        context.may_act, context.report, options.store_limits),
         jobs_writer(context.loop, context.store, std::string(batch::jobs_topic),
-                    "leader", epoch, context.may_act, context.report),
+                    "leader", epoch, context.may_act, context.report,
+                    options.store_limits),
         restore_timer(context.report, "restore"),
         link_timer(context.report, "link_workers"),
         plan_timer(context.report, "plan"),
@@ -73,6 +74,7 @@
   void plan_slice();
   void store(batch::commit commit);
   void store_job_records();
+  void drop_unstored(std::vector<batch::order>& orders);
   bool check_stored(const absl::Status& status);
   void on_progress_stored();
   void plan_changes();
@@ -228,6 +230,9 @@
     return;
   }
   scheduler.add_job(job.spec, boot_now(), wall_now());
+  if (job.status.state == batch::job_state::running) {
+    scheduler.restore_begun(job.spec->id);
+  }
 }
 
 void leader::impl::restore() {
@@ -239,13 +244,13 @@
       [this](const auto&, const auto& job) { restore_job(job); });
   int unreadable = 0;
   for (const auto& record : progress_records) {
-    auto key = batch::parse_step_key(record.key);
+    auto key = batch::parse_progress_key(record.key);
     auto tasks = batch::decode_tasks(record.value);
     if (!key || !tasks.ok()) {
       ++unreadable;
       continue;
     }
-    if (!scheduler.restore_progress(*key, *tasks, boot_now())) {
+    if (!scheduler.restore_progress(key->step, *tasks, boot_now(), key->part)) {
       scheduler.remove_progress(*key);
     }
   }
@@ -334,7 +339,10 @@
   last_sweep_at = boot_now();
   auto oldest = wall_now() - options.scheduling.state_retention.count();
   context.jobs.for_each([&](const auto& id, const auto& job) {
-    if (batch::has_ended(job.status.state) && job.status.changed_at < oldest) {
+    bool has_ended =
+        batch::has_ended(job.status.state) && job.status.changed_at < oldest;
+    bool never_came = !job.is_submitted() && job.cancelled_at < oldest;
+    if (has_ended || never_came) {
       scheduler.remove_job_state(id);
     }
   });
@@ -444,12 +452,35 @@
         self->progress_in_flight = false;
         if (self->check_stored(end.status())) {
           self->on_progress_stored();
+          self->drop_unstored(orders);
           self->queue_orders(std::move(orders));
           self->plan_changes();
         }
       });
 }
 
+/// Drops the starts whose record the store has refused.
+void leader::impl::drop_unstored(std::vector<batch::order>& orders) {
+  const auto& refused = progress_writer.refused_keys();
+  if (refused.empty()) {
+    return;
+  }
+  std::erase_if(orders, [&](const batch::order& order) {
+    const auto* start = std::get_if<batch::start_order>(&order);
+    if (start == nullptr) {
+      return false;
+    }
+    auto key = to_string(batch::progress_key{
+        start->task.step, batch::progress_part_of(start->task.index)});
+    if (std::ranges::find(refused, key) == refused.end()) {
+      return false;
+    }
+    scheduler.on_start_result(start->worker, start->task, start->run,
+                              batch::start_outcome::not_run, boot_now());
+    return true;
+  });
+}
+
 /// Stores the records of jobs that are not stored yet. Plans don't wait for
 /// them: callers append to the same topic, and while the store is slow their
 /// appends take seconds.
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -116,7 +116,7 @@
             jobs_follower_.note_stored(key);
             apply_job(key, value);
           },
-          report),
+          report, settings.store_limits),
       leadership_(loop, store, leadership_options_of(settings),
                   {[this](model::epoch epoch) { start_leader(epoch); },
                    [this] { stop_leader(); }, [this] { return can_lead(); },
@@ -300,6 +300,7 @@
   options.scheduling.move_cost =
       settings_.run_stop_time + settings_.restore_time;
   options.links.lease_duration = lease;
+  options.store_limits = settings_.store_limits;
   leader_context context{loop_,
                          store_,
                          jobs_,
--- a/packages/dispatch/src/settings.cc
+++ b/packages/dispatch/src/settings.cc
@@ -5,6 +5,7 @@
 #include <absl/strings/str_join.h>
 #include <toml++/toml.h>
 
+#include <cmath>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -49,14 +50,42 @@
   };
 }
 
+/// Reads a number of milliseconds; a fraction is rounded up.
 value_reader milliseconds_reader(std::chrono::milliseconds& target,
                                  std::int64_t min, std::int64_t max) {
   return [&target, min, max](const toml::node& node) -> std::string {
-    auto value = node.value_exact<std::int64_t>().value_or(min - 1);
-    if (value < min || value > max) {
+    auto value = std::ceil(node.value<double>().value_or(-1));
+    if (!(value >= static_cast<double>(min) &&
+          value <= static_cast<double>(max))) {
       return absl::StrCat("milliseconds from ", min, " to ", max);
     }
-    target = std::chrono::milliseconds(value);
+    target = std::chrono::milliseconds(static_cast<std::int64_t>(value));
+    return "";
+  };
+}
+
+/// Reads a number of seconds, which may be a fraction.
+value_reader seconds_reader(std::chrono::milliseconds& target, double min,
+                            double max) {
+  return [&target, min, max](const toml::node& node) -> std::string {
+    auto value = node.value<double>().value_or(-1);
+    if (!(value >= min && value <= max)) {
+      return absl::StrCat("seconds from ", min, " to ", max);
+    }
+    target = std::chrono::milliseconds(std::llround(1000 * value));
+    return "";
+  };
+}
+
+value_reader size_reader(std::size_t& target, std::size_t min,
+                         std::size_t max) {
+  return [&target, min, max](const toml::node& node) -> std::string {
+    auto value = node.value_exact<std::int64_t>().value_or(-1);
+    if (value < 0 || static_cast<std::size_t>(value) < min ||
+        static_cast<std::size_t>(value) > max) {
+      return absl::StrCat("a number from ", min, " to ", max);
+    }
+    target = static_cast<std::size_t>(value);
     return "";
   };
 }
@@ -80,6 +109,13 @@
       {"listen.ready", {true, endpoint_reader(settings.ready)}},
       {"listen.metrics", {true, endpoint_reader(settings.metrics)}},
       {"store.address", {true, endpoint_reader(settings.store)}},
+      // A record of progress must fit.
+      {"store.max_record_bytes",
+       {false, size_reader(settings.store_limits.max_record_bytes, 1U << 17,
+                           1U << 30)}},
+      {"store.max_call_bytes",
+       {false,
+        size_reader(settings.store_limits.max_call_bytes, 1U << 17, 1U << 30)}},
       {"workers.longest_lease_ms",
        {true, milliseconds_reader(settings.longest_lease, 1000, 600000)}},
       {"workers.early_start_ms",
@@ -90,6 +126,9 @@
        {false, milliseconds_reader(settings.restore_time, 0, 600000)}},
       {"jobs.state_retention_ms",
        {false, milliseconds_reader(settings.state_retention, 1000, 86400000)}},
+      {"jobs.state_retention_s",
+       {false, seconds_reader(settings.state_retention, 1, 86400)}},
+      {"limits.stop_s", {false, seconds_reader(settings.stop_limit, 0.5, 600)}},
       {"limits.stop_ms",
        {false, milliseconds_reader(settings.stop_limit, 500, 600000)}},
       {"limits.processor_share",
@@ -109,10 +148,41 @@
   };
 }
 
+/// Applies "SECTION.KEY=VALUE" to the table.
+/// @return a description of the problem, or an empty string.
+std::string apply_override(toml::table& root, std::string_view text) {
+  auto assignment = text.find('=');
+  auto dot = text.substr(0, assignment).find('.');
+  if (assignment == std::string_view::npos || dot == std::string_view::npos) {
+    return absl::StrCat("--set ", std::string(text),
+                        ": expected SECTION.KEY=VALUE");
+  }
+  auto section = text.substr(0, dot);
+  auto key = text.substr(dot + 1, assignment - dot - 1);
+  auto value = text.substr(assignment + 1);
+  auto* table = root.insert(section, toml::table{}).first->second.as_table();
+  if (table == nullptr) {
+    return absl::StrCat("--set ", std::string(text), ": not a section");
+  }
+  table->erase(key);
+  if (value.empty()) {
+    return "";
+  }
+  try {
+    auto parsed = toml::parse(absl::StrCat("v = ", std::string(value)));
+    table->insert(key, *parsed.get("v"));
+  } catch (const toml::parse_error&) {
+    // A text without quotes.
+    table->insert(key, std::string(value));
+  }
+  return "";
+}
+
 }  // namespace
 
-absl::StatusOr<daemon_settings> parse_settings(std::string_view text,
-                                               std::string_view name) {
+absl::StatusOr<daemon_settings> parse_settings(
+    std::string_view text, std::string_view name,
+    std::span<const std::string> overrides) {
   std::string file(name);
   toml::table root;
   try {
@@ -126,6 +196,11 @@
   auto keys = known_keys(settings);
   std::set<std::string> seen;
   std::vector<std::string> problems;
+  for (const auto& each : overrides) {
+    if (auto problem = apply_override(root, each); !problem.empty()) {
+      problems.push_back(std::move(problem));
+    }
+  }
   for (const auto& [section, node] : std::as_const(root)) {
     const auto* table = node.as_table();
     if (table == nullptr) {
@@ -161,14 +236,15 @@
   return settings;
 }
 
-absl::StatusOr<daemon_settings> load_settings(const std::string& path) {
+absl::StatusOr<daemon_settings> load_settings(
+    const std::string& path, std::span<const std::string> overrides) {
   std::ifstream in(path);
   if (!in) {
     return absl::NotFoundError(absl::StrCat(path, ": cannot be read"));
   }
   std::stringstream text;
   text << in.rdbuf();
-  return parse_settings(text.str(), path);
+  return parse_settings(text.str(), path, overrides);
 }
 
 }  // namespace vanillaladder::dispatch
--- a/packages/external/include/external/keyed_store.h
+++ b/packages/external/include/external/keyed_store.h
@@ -33,6 +33,20 @@
   std::optional<std::chrono::milliseconds> answer_timeout = {};
 };
 
+/// What a store takes; it refuses larger records and calls.
+struct store_limits {
+  std::size_t max_record_bytes = 262'144;
+  /// Total size of the records of one append.
+  std::size_t max_call_bytes = 2'097'152;
+};
+
+/// @return the size of a record with its key, as the store counts it.
+inline std::size_t record_bytes(const batch::topic_record& record) {
+  // The length of the key, one byte, and that of the record.
+  constexpr std::size_t overhead = 5;
+  return overhead + record.key.size() + record.value.size();
+}
+
 /// Consecutive records of a topic.
 struct record_batch {
   /// Offset of the first record.
--- a/packages/http/src/channel.cc
+++ b/packages/http/src/channel.cc
@@ -62,6 +62,10 @@
     lws* native = nullptr;
     connection_context* context = nullptr;
     bool connected = false;
+    /// Order of the last answer and of the sending of the current call among
+    /// all events of the channel; 0 before the first.
+    std::uint64_t answered_at = 0;
+    std::uint64_t sent_at = 0;
     std::optional<call> current_call;
     std::string unsent_bytes;
     detail::response_reader reader;
@@ -79,6 +83,7 @@
   int receive(connection& conn, std::string_view bytes);
   void on_closed(connection& conn, std::string_view cause);
   void detach(connection& conn);
+  void close_silent_connections(std::uint64_t since);
   void on_timeout(std::uint64_t id);
   std::vector<dropped_call> drop_calls();
   void finish(call ended_call, client_result result) const;
@@ -95,6 +100,7 @@
   std::list<connection> connections;
   std::deque<call> waiting_calls;
   std::uint64_t last_call_id = 0;
+  std::uint64_t last_event = 0;
   std::uint64_t connections_opened = 0;
   bool destroyed = false;
   /// Whether the channel was destroyed without `close`, so that the remaining
@@ -209,6 +215,7 @@
   conn.unsent_bytes = serialize(next_call.message, peer);
   conn.reader.reset();
   conn.current_call = std::move(next_call);
+  conn.sent_at = ++last_event;
   if (conn.connected) {
     lws_callback_on_writable(conn.native);
   }
@@ -257,6 +264,7 @@
   }
   auto ended_call = std::move(*conn.current_call);
   conn.current_call.reset();
+  conn.answered_at = ++last_event;
   bool keep_alive = conn.reader.keep_alive();
   auto answer = conn.reader.take_response();
   if (!keep_alive) {
@@ -276,6 +284,25 @@
       [&](const connection& candidate) { return &candidate == &conn; });
 }
 
+/// Closes the idle connections that have not answered since the event `since`.
+/// What makes one open connection silent, such as a restart of a device on the
+/// path, makes the others silent too; each would cost another timeout.
+void channel::impl::close_silent_connections(std::uint64_t since) {
+  std::vector<lws*> silent;
+  for (const auto& conn : connections) {
+    if (conn.connected && !conn.current_call && conn.answered_at < since) {
+      silent.push_back(conn.native);
+      conn.context->conn = nullptr;
+    }
+  }
+  connections.remove_if([&](const connection& conn) {
+    return std::ranges::find(silent, conn.native) != silent.end();
+  });
+  for (auto* native : silent) {
+    lws_set_timeout(native, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  }
+}
+
 void channel::impl::on_closed(connection& conn, std::string_view cause) {
   auto ended_call = std::move(conn.current_call);
   bool sent = conn.connected && conn.unsent_bytes.empty();
@@ -316,7 +343,9 @@
     auto ended_call = std::move(*conn->current_call);
     bool sent = conn->connected && conn->unsent_bytes.empty();
     auto* native = conn->native;
+    auto sent_at = conn->sent_at;
     detach(*conn);
+    close_silent_connections(sent_at);
     lws_set_timeout(native, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     auto result = make_failure(
         ended_call, absl::StatusCode::kDeadlineExceeded,
