Add organisations: keys, limits and shares

Change: call_routing decides by queue, key and the age of the copy; the scheduler counts what runs for an organisation with the room of the workers and places in two passes, shares first, then what is lent. Off without organisations.

--- a/packages/batch/gen/batch_records_types.cpp
+++ b/packages/batch/gen/batch_records_types.cpp
@@ -673,6 +673,11 @@
 void job::__set_policy(const queue_policy& val) {
   this->policy = val;
 }
+
+void job::__set_organisation(const std::string& val) {
+  this->organisation = val;
+__isset.organisation = true;
+}
 std::ostream& operator<<(std::ostream& out, const job& obj)
 {
   obj.printTo(out);
@@ -777,6 +782,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -834,6 +847,11 @@
   xfer += this->policy.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.organisation) {
+    xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 9);
+    xfer += oprot->writeString(this->organisation);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -849,6 +867,7 @@
   swap(a.interval_ms, b.interval_ms);
   swap(a.accepted_unix_ms, b.accepted_unix_ms);
   swap(a.policy, b.policy);
+  swap(a.organisation, b.organisation);
   swap(a.__isset, b.__isset);
 }
 
@@ -861,6 +880,7 @@
   interval_ms = other16.interval_ms;
   accepted_unix_ms = other16.accepted_unix_ms;
   policy = other16.policy;
+  organisation = other16.organisation;
   __isset = other16.__isset;
 }
 job& job::operator=(const job& other17) {
@@ -872,6 +892,7 @@
   interval_ms = other17.interval_ms;
   accepted_unix_ms = other17.accepted_unix_ms;
   policy = other17.policy;
+  organisation = other17.organisation;
   __isset = other17.__isset;
   return *this;
 }
@@ -886,6 +907,7 @@
   out << ", " << "interval_ms=" << to_string(interval_ms);
   out << ", " << "accepted_unix_ms=" << to_string(accepted_unix_ms);
   out << ", " << "policy=" << to_string(policy);
+  out << ", " << "organisation="; (__isset.organisation ? (out << to_string(organisation)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/batch/gen/batch_records_types.h
+++ b/packages/batch/gen/batch_records_types.h
@@ -268,7 +268,7 @@
 std::ostream& operator<<(std::ostream& out, const queue_policy& obj);
 
 typedef struct _job__isset {
-  _job__isset() : queue(false), payload(false), steps(false), repeat_count(false), first_run_unix_ms(false), interval_ms(false), accepted_unix_ms(false), policy(false) {}
+  _job__isset() : queue(false), payload(false), steps(false), repeat_count(false), first_run_unix_ms(false), interval_ms(false), accepted_unix_ms(false), policy(false), organisation(false) {}
   bool queue :1;
   bool payload :1;
   bool steps :1;
@@ -277,6 +277,7 @@
   bool interval_ms :1;
   bool accepted_unix_ms :1;
   bool policy :1;
+  bool organisation :1;
 } _job__isset;
 
 class job : public virtual ::apache::thrift::TBase {
@@ -290,7 +291,8 @@
         repeat_count(0),
         first_run_unix_ms(0),
         interval_ms(0),
-        accepted_unix_ms(0) {
+        accepted_unix_ms(0),
+        organisation() {
   }
 
   virtual ~job() noexcept;
@@ -302,6 +304,7 @@
   int64_t interval_ms;
   int64_t accepted_unix_ms;
   queue_policy policy;
+  std::string organisation;
 
   _job__isset __isset;
 
@@ -321,6 +324,8 @@
 
   void __set_policy(const queue_policy& val);
 
+  void __set_organisation(const std::string& val);
+
   bool operator == (const job & rhs) const
   {
     if (!(queue == rhs.queue))
@@ -339,6 +344,10 @@
       return false;
     if (!(policy == rhs.policy))
       return false;
+    if (__isset.organisation != rhs.__isset.organisation)
+      return false;
+    else if (__isset.organisation && !(organisation == rhs.organisation))
+      return false;
     return true;
   }
   bool operator != (const job &rhs) const {
--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -95,6 +95,8 @@
   time_point ready_since;
   /// The last placement round that examined this step.
   std::int64_t last_round = 0;
+  /// The same for the first pass of a round with organisations.
+  std::int64_t last_entitled_round = 0;
   /// When the reasons why its tasks wait were last logged.
   time_point wait_logged_at;
 
@@ -132,6 +134,8 @@
   job_state state = job_state::queued;
   /// The state must be stored with the next commit.
   bool state_dirty = false;
+  /// Beyond the rate of its organisation.
+  bool surplus = false;
   bool cancelled = false;
   /// Number of the plan whose commit contains the final state; 0 before it. The
   /// job's progress may be removed only after `end_stored` is set, or a new
--- a/packages/batch/include/batch/job.h
+++ b/packages/batch/include/batch/job.h
@@ -84,6 +84,8 @@
   unix_ms first_run_at = 0;
   milliseconds interval{0};
   unix_ms accepted_at = 0;
+  /// Organisation that submitted the job; empty if none is known.
+  std::string organisation = {};
   /// The queue's policy at acceptance, used if the queue is removed.
   queue_policy policy;
 
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -14,6 +14,7 @@
 #include "batch/job_order.h"
 #include "batch/job_records.h"
 #include "batch/orders.h"
+#include "batch/organisation_shares.h"
 #include "batch/pace_plan.h"
 #include "batch/run_time_model.h"
 #include "batch/worker.h"
@@ -62,6 +63,12 @@
   /// Sets the queue policies. Jobs of a queue that is not listed keep their
   /// policy, initially the one at acceptance.
   void set_queues(const std::map<std::string, queue_policy>& queues);
+  /// Sets the limits and shares of organisations. Without any, jobs are placed
+  /// regardless of theirs.
+  void set_organisations(
+      const std::map<std::string, organisation_policy>& policies);
+  /// @return usage, limit and share of each organisation.
+  std::vector<organisation_shares::report> organisation_reports() const;
   /// Sets the failure domains in which no task may start.
   void set_closed_domains(std::vector<model::domain_id> domains);
 
@@ -245,7 +252,16 @@
   // Placement.
   struct ranked_step;
   std::vector<ranked_step> rank_steps(time_point now);
+  /// Passes of a placement round. With organisations, each gets its share in
+  /// the first one, and what is left is lent in the second.
+  enum class placement_pass { entitled, lent };
   void place(time_point now, std::vector<order>& orders);
+  bool place_ranked(std::span<const ranked_step> ranked, placement_pass pass,
+                    time_point now, std::vector<order>& orders);
+  void begin_share_round(std::span<const ranked_step> ranked);
+  bool has_share(step_state& step, placement_pass pass, int count,
+                 time_point now);
+  static bool begin_wait_line(step_state& step, time_point now);
   /// A step for which no worker was found in the current placement round.
   struct unmet_demand {
     const step_state* step = nullptr;
@@ -260,7 +276,7 @@
                         time_point now);
   /// Result of placing the tasks of one step.
   enum class placement { examined, unmet, interrupted };
-  placement place_step(step_state& step, time_point now,
+  placement place_step(step_state& step, placement_pass pass, time_point now,
                        std::vector<order>& orders);
   class candidates;
   bool place_gang(step_state& step, time_point now, std::vector<order>& orders);
@@ -317,6 +333,7 @@
   headroom_model headroom_model_;
   run_time_model run_time_model_;
   job_order job_order_;
+  organisation_shares shares_;
   /// Reserved share of the processor capacity of all reachable workers.
   double utilisation_ = 1;
   /// When the leases on lost workers end, as known to earlier leaders.
--- a/packages/batch/src/job_records.cc
+++ b/packages/batch/src/job_records.cc
@@ -203,6 +203,9 @@
   out.policy.max_attempts = spec.policy.max_attempts;
   out.policy.stretch = spec.policy.stretch;
   out.policy.target_latency_ms = spec.policy.target_latency.count();
+  if (!spec.organisation.empty()) {
+    out.__set_organisation(spec.organisation);
+  }
   return write_record(out);
 }
 
@@ -226,6 +229,7 @@
   spec.policy = {std::move(in->policy.service_name), in->policy.priority,
                  in->policy.max_attempts, in->policy.stretch,
                  milliseconds(in->policy.target_latency_ms)};
+  spec.organisation = std::move(in->organisation);
   if (auto problem = find_problem(spec); !problem.empty()) {
     return absl::DataLossError(absl::StrCat("decode job: ", problem));
   }
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -149,6 +149,7 @@
   job->arrived_at = now - age;
   set_deadlines(*job, job->arrived_at);
   observe_size(*job);
+  job->surplus = shares_.is_surplus(spec->organisation, spec->accepted_at);
   if (spec->repeat_count == 0) {
     open_occurrence(*job, 0);
   }
@@ -436,6 +437,7 @@
   task.last_run = std::max(task.last_run, number);
   worker.runs.push_back({&step, index, number});
   auto need = step.spec->required_resources;
+  shares_.add_run(step.job->spec->organisation, need);
   if (step.spec->best_effort) {
     worker.best_effort_cpu += need.cpu_millis;
     need.cpu_millis = 0;
@@ -454,6 +456,7 @@
   }
   auto& worker = *run->worker;
   auto need = step.spec->required_resources;
+  shares_.remove_run(step.job->spec->organisation, need);
   if (step.spec->best_effort) {
     worker.best_effort_cpu -= need.cpu_millis;
     need.cpu_millis = 0;
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <tuple>
 #include <utility>
 
@@ -149,6 +150,8 @@
 struct scheduler::ranked_step {
   step_state* step = nullptr;
   int priority = 0;
+  /// Whether the job is one beyond the rate of its organisation.
+  bool surplus = false;
   /// 0: on time, 1: late, 2: too late for the result to have any value. A
   /// long-running step that yields to short ones yields to late ones too.
   int lateness = 0;
@@ -158,9 +161,9 @@
   time_point position;
 
   bool operator<(const ranked_step& other) const {
-    return std::tie(lateness, priority, yields_to_short, position) <
-           std::tie(other.lateness, other.priority, other.yields_to_short,
-                    other.position);
+    return std::tie(surplus, lateness, priority, yields_to_short, position) <
+           std::tie(other.surplus, other.lateness, other.priority,
+                    other.yields_to_short, other.position);
   }
 };
 
@@ -182,8 +185,9 @@
         }
         bool yields = step.spec->long_running &&
                       now - *step.waiting_since < long_running_patience;
-        ranked_step each{&step, job->policy.priority, yields ? 1 : 0, yields,
-                         job->deadlines.due_at};
+        ranked_step each{&step,        job->policy.priority,
+                         job->surplus, yields ? 1 : 0,
+                         yields,       job->deadlines.due_at};
         if (!step.spec->long_running) {
           each.position = job_order_.position(
               job->spec->queue, job->deadlines.due_at, remaining_work);
@@ -340,13 +344,22 @@
   return obstacle_at(worker, step, task, now) == obstacle::none;
 }
 
+/// @return whether a line on why the step waits is due, and notes that it is
+///   written.
+bool scheduler::begin_wait_line(step_state& step, time_point now) {
+  if (now < step.wait_logged_at + wait_log_interval) {
+    return false;
+  }
+  step.wait_logged_at = now;
+  return true;
+}
+
 /// Logs why no worker can run a task, as the number of workers per obstacle.
 void scheduler::log_wait_reasons(step_state& step, const task_state& task,
                                  time_point now) {
-  if (now < step.wait_logged_at + wait_log_interval) {
+  if (!begin_wait_line(step, now)) {
     return;
   }
-  step.wait_logged_at = now;
   std::map<std::string_view, int> counts;
   for (const auto& [id, worker] : workers_) {
     ++counts[obstacle_name(obstacle_at(*worker, step, task, now))];
@@ -622,8 +635,7 @@
 /// Logs that a step waits because another one that needs no more waits too.
 void scheduler::log_covered_wait(step_state& step, const step_state& other,
                                  time_point now) {
-  if (now >= step.wait_logged_at + wait_log_interval) {
-    step.wait_logged_at = now;
+  if (begin_wait_line(step, now)) {
     log_event(absl::StrCat("waits step=", to_string(step.key),
                            " tasks=", step.waiting_tasks,
                            " needs_as_much_as=", to_string(other.key)));
@@ -633,10 +645,13 @@
 /// Starts the waiting tasks of a step.
 /// @return `unmet` if a task that has not failed yet finds no worker,
 ///   `interrupted` if the work budget is used up.
-scheduler::placement scheduler::place_step(step_state& step, time_point now,
+scheduler::placement scheduler::place_step(step_state& step,
+                                           placement_pass pass, time_point now,
                                            std::vector<order>& orders) {
   if (step.spec->gang) {
-    place_gang(step, now, orders);
+    if (has_share(step, pass, step.spec->count, now)) {
+      place_gang(step, now, orders);
+    }
     return placement::examined;
   }
   std::optional<candidates> shared_candidates;
@@ -648,6 +663,9 @@
     if (!has_budget()) {
       return placement::interrupted;
     }
+    if (!has_share(step, pass, 1, now)) {
+      return placement::examined;
+    }
     bool starved = step.spec->best_effort && is_starved(step, now);
     // A task that has failed avoids its last worker and prefers workers whose
     // last task succeeded.
@@ -688,18 +706,36 @@
     ++round_;
   }
   budget_exhausted_ = false;
-  // Steps that found no worker in this round. Steps that need as much or more
+  auto ranked = rank_steps(now);
+  if (!shares_.enabled()) {
+    budget_exhausted_ =
+        !place_ranked(ranked, placement_pass::lent, now, orders);
+    return;
+  }
+  begin_share_round(ranked);
+  budget_exhausted_ =
+      !place_ranked(ranked, placement_pass::entitled, now, orders) ||
+      !place_ranked(ranked, placement_pass::lent, now, orders);
+}
+
+/// Places the tasks of steps in their order.
+/// @return false if the work budget is used up.
+bool scheduler::place_ranked(std::span<const ranked_step> ranked,
+                             placement_pass pass, time_point now,
+                             std::vector<order>& orders) {
+  // Steps that found no worker in this pass. Steps that need as much or more
   // are skipped: under load most steps wait, and examining all workers for each
   // of them would exceed the time allowed for a round.
   std::vector<unmet_demand> unmet;
-  for (const auto& each : rank_steps(now)) {
+  for (const auto& each : ranked) {
     auto& step = *each.step;
-    if (step.last_round == round_) {
+    auto& last_round = pass == placement_pass::lent ? step.last_round
+                                                    : step.last_entitled_round;
+    if (last_round == round_) {
       continue;
     }
     if (!has_budget()) {
-      budget_exhausted_ = true;
-      return;
+      return false;
     }
     bool starved = step.spec->best_effort && is_starved(step, now);
     double speed = step.spec->best_effort ? min_speed(step, now) : 0;
@@ -707,22 +743,22 @@
       return demand.covers(step, starved, speed);
     });
     if (found != unmet.end()) {
-      step.last_round = round_;
+      last_round = round_;
       log_covered_wait(step, *found->step, now);
       continue;
     }
-    auto result = place_step(step, now, orders);
+    auto result = place_step(step, pass, now, orders);
     if (result == placement::interrupted) {
-      budget_exhausted_ = true;
-      return;
+      return false;
     }
-    step.last_round = round_;
+    last_round = round_;
     bool restricted =
         !step.spec->required_label.empty() || step.spec->per_worker_limit > 0;
     if (result == placement::unmet && !restricted) {
       unmet.push_back({&step, speed});
     }
   }
+  return true;
 }
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/thrift/batch_records.thrift
+++ b/packages/batch/thrift/batch_records.thrift
@@ -39,6 +39,7 @@
   6: i64 interval_ms
   7: i64 accepted_unix_ms
   8: queue_policy policy
+  9: optional string organisation
 }
 
 struct run {
--- a/packages/dispatch/include/dispatch/fleet_config.h
+++ b/packages/dispatch/include/dispatch/fleet_config.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "batch/job.h"
+#include "batch/organisation_shares.h"
 #include "batch/worker.h"
 #include "model/types.h"
 
@@ -23,15 +24,29 @@
   std::string host;
   std::string path_prefix;
   batch::queue_policy policy;
+  /// Whether callers may use the queue without a key.
+  bool allows_anonymous = true;
 
   bool operator==(const queue_route&) const = default;
 };
 
+/// An organisation whose callers use keys.
+struct organisation {
+  std::string name;
+  /// Secrets; never logged.
+  std::vector<std::string> keys;
+  batch::organisation_policy policy;
+
+  bool operator==(const organisation&) const = default;
+};
+
 /// One version of the configuration that operators write.
 struct fleet_config {
   std::int64_t version = 0;
   std::vector<queue_route> queues;
   std::size_t max_body_bytes = 1U << 18;
+  /// If there are none, callers need no keys.
+  std::vector<organisation> organisations;
 
   bool operator==(const fleet_config&) const = default;
 };
@@ -85,6 +100,15 @@
   const queue_route* find_queue(std::string_view host,
                                 std::string_view path) const;
   std::map<std::string, batch::queue_policy> policies() const;
+  /// @return whether callers need keys.
+  bool requires_keys() const {
+    return config_ && !config_->organisations.empty();
+  }
+  /// @return the organisation with this key, or null. The time taken does not
+  ///   depend on how much of a key is right.
+  const organisation* find_organisation(std::string_view key) const;
+  std::map<std::string, batch::organisation_policy> organisation_policies()
+      const;
 
  private:
   std::optional<fleet_config> config_;
--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -4,10 +4,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "batch/job.h"
 #include "batch/job_directory.h"
 #include "dispatch/append_batcher.h"
+#include "dispatch/call_routing.h"
 #include "dispatch/fleet_config.h"
 #include "dispatch/reporter.h"
 #include "dispatch/submission_outcomes.h"
@@ -48,16 +50,22 @@
   /// @param loop must outlive the service, as must `store`, `jobs`, `config`
   ///   and `follower`.
   /// @param on_stored_record applies a record that this daemon has appended.
+  /// @param operators follower of the operators' topic, which `config` is a
+  ///   copy of; if null, the copy counts as current.
   job_service(http::event_loop& loop, external::keyed_store& store,
               const batch::job_directory& jobs, const config_view& config,
               topic_follower& follower,
               std::function<void(std::string_view key, std::string_view value)>
                   on_stored_record,
-              reporter report, const external::store_limits& limits = {});
+              reporter report, const external::store_limits& limits = {},
+              topic_follower* operators = nullptr,
+              const access_options& access = {});
 
-  /// @return the queue that a request addresses, or null if there is none.
-  const queue_route* find_queue(std::string_view host,
-                                std::string_view path) const;
+  /// Decides by the copy of the configuration whether a call may use a queue.
+  call_route route(const call_credentials& call) const;
+  /// Brings that copy up to date.
+  /// @param done called once it is, or after `max_refresh_time`.
+  void read_config(std::function<void()> done);
   /// @return whether requests can be served; answers the load balancer's
   ///   readiness check.
   bool ready() const;
@@ -101,6 +109,11 @@
   std::function<void(std::string_view, std::string_view)> on_stored_record_;
   reporter report_;
   std::size_t max_record_bytes_;
+  topic_follower* operators_;
+  access_options access_;
+  /// Calls that wait for one read of the configuration.
+  std::vector<std::function<void()>> config_waiters_;
+  std::uint64_t config_read_ = 0;
   submission_outcomes outcomes_;
 };
 
--- a/packages/dispatch/include/dispatch/settings.h
+++ b/packages/dispatch/include/dispatch/settings.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "dispatch/call_routing.h"
 #include "external/keyed_store.h"
 
 namespace vanillaladder::dispatch {
@@ -50,6 +51,8 @@
   /// leader.
   double processor_share = 1;
   double processor_speed = 1;
+  /// Section `[access]`.
+  access_options access;
   /// Maximum time that a shutdown may take.
   std::chrono::milliseconds stop_limit{6000};
 };
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -17,7 +17,8 @@
     const batch::job_directory& jobs, const config_view& config,
     topic_follower& follower,
     std::function<void(std::string_view, std::string_view)> on_stored_record,
-    reporter report, const external::store_limits& limits)
+    reporter report, const external::store_limits& limits,
+    topic_follower* operators, const access_options& access)
     : loop_(&loop),
       appends_(loop, store, std::string(batch::jobs_topic), limits),
       jobs_(&jobs),
@@ -25,7 +26,9 @@
       follower_(&follower),
       on_stored_record_(std::move(on_stored_record)),
       report_(report),
-      max_record_bytes_(limits.max_record_bytes) {}
+      max_record_bytes_(limits.max_record_bytes),
+      operators_(operators),
+      access_(access) {}
 
 /// @return the job, or null if no record of it is known. A cancellation alone
 ///   does not count.
@@ -35,9 +38,38 @@
   return found != nullptr && found->is_submitted() ? found : nullptr;
 }
 
-const queue_route* job_service::find_queue(std::string_view host,
-                                           std::string_view path) const {
-  return config_->find_queue(host, path);
+call_route job_service::route(const call_credentials& call) const {
+  auto age = std::chrono::milliseconds(0);
+  if (operators_ != nullptr) {
+    age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        boot_now() - operators_->current_as_of());
+  }
+  auto decision = route_call(*config_, call, age, access_);
+  if (std::holds_alternative<unknown_key>(decision)) {
+    report_.count("vanillaladder_calls_refused_total", "reason", "unknown_key");
+  } else if (std::holds_alternative<stale_config>(decision)) {
+    report_.count("vanillaladder_calls_refused_total", "reason",
+                  "config_stale");
+  }
+  return decision;
+}
+
+/// Calls that arrive during a read share it.
+void job_service::read_config(std::function<void()> done) {
+  config_waiters_.push_back(std::move(done));
+  if (config_waiters_.size() > 1) {
+    return;
+  }
+  auto finish = [this, number = ++config_read_](bool) {
+    if (number == config_read_) {
+      ++config_read_;
+      for (const auto& waiter : std::exchange(config_waiters_, {})) {
+        waiter();
+      }
+    }
+  };
+  loop_->call_after(max_refresh_time, [finish] { finish(false); });
+  operators_->refresh(finish, max_refresh_time);
 }
 
 bool job_service::ready() const {
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -29,6 +29,7 @@
 constexpr std::size_t max_links_per_turn = 64;
 /// How often the states of jobs that ended long ago are removed.
 constexpr std::chrono::seconds sweep_interval{10};
+constexpr std::chrono::seconds organisation_report_interval{1};
 
 }  // namespace
 
@@ -64,6 +65,7 @@
   void take_over();
   void link_workers(std::vector<model::worker_id> ids);
   void update_closed_domains();
+  void restore_jobs();
   void restore_job(const batch::job_directory::entry& job);
   void request_plan();
   batch::commit make_plan();
@@ -79,6 +81,7 @@
   void on_progress_stored();
   void plan_changes();
   void tick();
+  void report_organisations();
   void sweep();
   void on_superseded(std::string_view noticed_by);
   void defer(std::chrono::milliseconds pause, std::function<void()> step);
@@ -120,6 +123,7 @@
   std::vector<batch::topic_record> unsent_job_records;
   std::int64_t last_unsent_plan = 0;
   model::time_point last_sweep_at = boot_now();
+  model::time_point organisations_reported_at;
 };
 
 void leader::impl::defer(std::chrono::milliseconds pause,
@@ -235,13 +239,31 @@
   }
 }
 
+/// Restores the jobs in the order of their acceptance, which decides which of
+/// an organisation are beyond its rate.
+void leader::impl::restore_jobs() {
+  std::vector<const batch::job_directory::entry*> jobs;
+  context.jobs.for_each([&jobs](const auto&, const auto& job) {
+    if (job.spec != nullptr) {
+      jobs.push_back(&job);
+    }
+  });
+  if (context.config.requires_keys()) {
+    std::ranges::sort(jobs, {},
+                      [](const auto* job) { return job->spec->accepted_at; });
+  }
+  for (const auto* job : jobs) {
+    restore_job(*job);
+  }
+}
+
 void leader::impl::restore() {
   auto timing = restore_timer.begin();
   scheduler.set_queues(context.config.policies());
+  scheduler.set_organisations(context.config.organisation_policies());
   update_closed_domains();
   scheduler.inherit_lost_workers(context.lost_workers);
-  context.jobs.for_each(
-      [this](const auto&, const auto& job) { restore_job(job); });
+  restore_jobs();
   int unreadable = 0;
   for (const auto& record : progress_records) {
     auto key = batch::parse_progress_key(record.key);
@@ -322,10 +344,36 @@
   if (boot_now() - last_sweep_at > sweep_interval) {
     sweep();
   }
+  report_organisations();
   send_unplanned_orders();
   plan();
 }
 
+/// Updates the metrics of the organisations.
+void leader::impl::report_organisations() {
+  if (!context.config.requires_keys() ||
+      boot_now() - organisations_reported_at < organisation_report_interval) {
+    return;
+  }
+  organisations_reported_at = boot_now();
+  auto& metrics = context.report.metrics();
+  for (const auto& each : scheduler.organisation_reports()) {
+    auto set = [&](std::string_view name, double value) {
+      metrics.gauge(name, "organisation", each.name).set(value);
+    };
+    set("vanillaladder_organisation_cpu_millis",
+        static_cast<double>(each.usage.cpu_millis));
+    set("vanillaladder_organisation_cpu_limit_millis",
+        static_cast<double>(each.limit.cpu_millis));
+    set("vanillaladder_organisation_memory_mib",
+        static_cast<double>(each.usage.memory_mib));
+    set("vanillaladder_organisation_memory_limit_mib",
+        static_cast<double>(each.limit.memory_mib));
+    set("vanillaladder_organisation_dominant_share", each.dominant_share);
+    set("vanillaladder_organisation_fair_share", each.fair_share);
+  }
+}
+
 /// Sends the orders that need no stored record, such as stops. They don't wait
 /// for the append in flight, which may have no answer for long.
 void leader::impl::send_unplanned_orders() {
@@ -570,6 +618,8 @@
 void leader::on_config() {
   if (impl_->active) {
     impl_->scheduler.set_queues(impl_->context.config.policies());
+    impl_->scheduler.set_organisations(
+        impl_->context.config.organisation_policies());
     impl_->update_closed_domains();
     impl_->request_plan();
   }
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -116,7 +116,7 @@
             jobs_follower_.note_stored(key);
             apply_job(key, value);
           },
-          report, settings.store_limits),
+          report, settings.store_limits, &operator_follower_, settings.access),
       leadership_(loop, store, leadership_options_of(settings),
                   {[this](model::epoch epoch) { start_leader(epoch); },
                    [this] { stop_leader(); }, [this] { return can_lead(); },
--- a/packages/dispatch/src/settings.cc
+++ b/packages/dispatch/src/settings.cc
@@ -128,6 +128,16 @@
        {false, milliseconds_reader(settings.state_retention, 1000, 86400000)}},
       {"jobs.state_retention_s",
        {false, seconds_reader(settings.state_retention, 1, 86400)}},
+      {"access.strict_revocation",
+       {false,
+        [&settings](const toml::node& node) -> std::string {
+          auto value = node.value_exact<bool>();
+          settings.access.strict_revocation = value.value_or(false);
+          return value ? "" : "true or false";
+        }}},
+      {"access.revocation_limit_ms",
+       {false,
+        milliseconds_reader(settings.access.revocation_limit, 1000, 600000)}},
       {"limits.stop_s", {false, seconds_reader(settings.stop_limit, 0.5, 600)}},
       {"limits.stop_ms",
        {false, milliseconds_reader(settings.stop_limit, 500, 600000)}},
