--- a/apps/vanillaladderd/src/front_host.cc
+++ b/apps/vanillaladderd/src/front_host.cc
@@ -1,5 +1,6 @@
 #include "front_host.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -116,6 +117,14 @@
   options.address = settings_.listen.address;
   options.max_request_bytes = settings_.limits.max_request_bytes;
   options.port = settings_.listen.caller_port;
+  options.limits.max_connections = max_descriptors / 2;
+  options.limits.max_buffered_bytes =
+      std::max(options.limits.max_buffered_bytes,
+               4 * settings_.limits.max_request_bytes);
+  options.on_limit = [this](std::string_view cause) {
+    metrics_.counter("vanillaladder_callers_limited_total", "cause", cause)
+        .increment();
+  };
   auto caller_server = http::server::listen(
       loop_, options, [this](http::request message, const auto& answer) {
         handle_caller(std::move(message), answer);
--- a/apps/vanillaladderd/src/schedule.cc
+++ b/apps/vanillaladderd/src/schedule.cc
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 #include <thread>
 
 #include "dispatch/clock.h"
@@ -36,6 +38,21 @@
 /// Time before the stop limit at which open calls are abandoned.
 constexpr milliseconds stop_margin{500};
 constexpr milliseconds stop_poll_interval{50};
+/// Limit of a body, whatever the configuration allows.
+constexpr std::size_t max_caller_request_bytes = 1U << 20;
+/// Pause between two log lines on a limit that callers have reached.
+constexpr std::chrono::seconds limit_log_interval{5};
+/// Limits of the servers for readiness checks and metrics, which a few callers
+/// use.
+constexpr std::size_t max_internal_connections = 64;
+constexpr std::size_t max_internal_request_bytes = 1U << 16;
+
+http::connection_limits internal_limits() {
+  http::connection_limits limits;
+  limits.max_connections = max_internal_connections;
+  limits.max_buffered_bytes = 16 * max_internal_request_bytes;
+  return limits;
+}
 
 sigset_t handled_signals() {
   sigset_t set;
@@ -90,15 +107,18 @@
 
   int run() {
     for (const auto& status :
-         {listen(settings_.callers, caller_server_,
+         {listen(settings_.callers, dispatch::caller_limits(settings_),
+                 max_caller_request_bytes, caller_server_,
                  [this](const auto&call, const auto&answer) {
                    caller_api_.handle(call, answer);
                  }),
-          listen(settings_.ready, ready_server_,
+          listen(settings_.ready, internal_limits(), max_internal_request_bytes,
+                 ready_server_,
                  [this](const auto&, const auto&answer) {
                    answer->respond({daemon_.ready() ? 200 : 503});
                  }),
-          listen(settings_.metrics, metrics_server_,
+          listen(settings_.metrics, internal_limits(),
+                 max_internal_request_bytes, metrics_server_,
                  [this](const auto&, const auto&answer) {
                    answer->respond({200,
                                     {{"content-type", "text/plain"}},
@@ -129,10 +149,17 @@
                                      const std::shared_ptr<http::responder>&)>;
 
   absl::Status listen(const dispatch::endpoint& listen_endpoint,
+                      const http::connection_limits& limits,
+                      std::size_t max_request_bytes,
                       std::unique_ptr<http::server>& server, handler handle) {
     http::server_options options;
     options.address = listen_endpoint.address;
     options.port = listen_endpoint.port;
+    options.limits = limits;
+    options.max_request_bytes = max_request_bytes;
+    options.on_limit = [this](std::string_view cause) {
+      on_callers_limited(cause);
+    };
     auto created = http::server::listen(
         loop_, options,
         [handle = std::move(handle)](http::request call, const auto& answer) {
@@ -145,9 +172,29 @@
     return absl::OkStatus();
   }
 
+  /// Counts each connection that is closed or refused for a limit; logs a line
+  /// for each cause and interval.
+  void on_callers_limited(std::string_view cause) {
+    reporter_.count("vanillaladder_callers_limited_total", "cause", cause);
+    auto& known = limited_[std::string(cause)];
+    ++known.count;
+    auto now = dispatch::boot_now();
+    if (now - known.logged_at >= limit_log_interval) {
+      known.logged_at = now;
+      reporter_.event("main",
+                      absl::StrCat("callers_limited cause=", std::string(cause),
+                                   " count=", known.count));
+    }
+  }
+
   void schedule_log_flush() {
     loop_.call_after(log_flush_interval, [this] {
       log_.flush();
+      // The limit of bodies may have changed with the configuration.
+      if (daemon_.service().configured()) {
+        caller_server_->set_max_request_bytes(std::min(
+            max_caller_request_bytes, daemon_.service().max_body_bytes()));
+      }
       schedule_log_flush();
     });
   }
@@ -198,6 +245,11 @@
   std::unique_ptr<http::server> caller_server_;
   std::unique_ptr<http::server> ready_server_;
   std::unique_ptr<http::server> metrics_server_;
+  struct limit_count {
+    std::uint64_t count = 0;
+    model::time_point logged_at;
+  };
+  std::map<std::string, limit_count> limited_;
   bool stopping_ = false;
   model::time_point stop_requested_at_;
 };
--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -97,8 +97,10 @@
   std::int64_t last_round = 0;
   /// The same for the first pass of a round with organisations.
   std::int64_t last_entitled_round = 0;
-  /// When the reasons why its tasks wait were last logged.
+  /// When the reasons why its tasks wait, and room held for them, were last
+  /// logged.
   time_point wait_logged_at;
+  time_point hold_logged_at;
 
   bool complete() const { return completed_tasks == spec->count; }
   /// Notes that the progress of a task must be stored.
--- a/packages/batch/include/batch/job_directory.h
+++ b/packages/batch/include/batch/job_directory.h
@@ -70,6 +70,9 @@
   void for_each(const std::function<void(const model::job_id&, const entry&)>&
                     visit) const;
   std::size_t size() const { return entries_.size(); }
+  /// @return about how much memory the jobs that have not ended take in a
+  ///   daemon that leads.
+  std::size_t memory_bytes() const { return memory_bytes_; }
 
  private:
   void remove(record_kind kind, const model::job_id& id);
@@ -77,10 +80,12 @@
   change cancel(const model::job_id& id, std::string_view value);
   change set_status(const model::job_id& id, std::string_view value);
   void adjust_pending(const entry& counted, int delta);
+  void drop_spec(entry& job);
   static bool is_pending(const entry& counted);
 
   absl::flat_hash_map<std::string, entry> entries_;
   absl::flat_hash_map<std::string, int> pending_;
+  std::size_t memory_bytes_ = 0;
 };
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -16,6 +16,7 @@
 #include "batch/orders.h"
 #include "batch/organisation_shares.h"
 #include "batch/pace_plan.h"
+#include "batch/reservations.h"
 #include "batch/run_time_model.h"
 #include "batch/worker.h"
 
@@ -45,6 +46,14 @@
   milliseconds early_start{100};
   /// Time that a run loses when it is stopped and resumed on another worker.
   milliseconds move_cost{800};
+  /// Whether room is held for tasks that wait by the expected ends of runs.
+  bool look_ahead = false;
+};
+
+/// Decisions of look-ahead placement.
+struct look_ahead_counts {
+  std::uint64_t held_steps = 0;
+  std::uint64_t backfilled_starts = 0;
 };
 
 /// Decides which tasks run where; used by the leader.
@@ -164,6 +173,10 @@
   bool needs_contact(const model::worker_id& id) const;
   /// @return the workers that have not answered and may still have runs.
   std::vector<lost_worker> lost_workers() const;
+  /// @return decisions of look-ahead placement so far.
+  const look_ahead_counts& look_ahead_decisions() const {
+    return look_ahead_counts_;
+  }
   /// @return whether anything changed since the last plan that requires a new
   ///   one.
   bool has_changes() const { return has_changes_; }
@@ -220,6 +233,7 @@
   void forget_departed_workers(time_point now);
 
   // Workers.
+  worker_state& find_or_add_worker(const model::worker_id& id);
   worker_state* find_worker(std::string_view id);
   const worker_state* find_worker(std::string_view id) const;
   void apply_end(worker_state& worker, const reported_end& end, time_point now);
@@ -298,6 +312,7 @@
     serving_late,
     no_spare_processor,
     no_room,
+    room_held,
     lease_not_settled,
     not_trusted,
     limit_per_worker,
@@ -317,6 +332,19 @@
   bool has_budget() const { return units_spent_ < unit_limit_; }
   double cost_of(const worker_state& worker, const step_state& step,
                  const task_state& task) const;
+
+  // Look-ahead placement.
+  void begin_look_ahead();
+  time_point expected_end(const step_state& step, const run_state& run,
+                          time_point now) const;
+  time_point expected_end_of_start(const step_state& step,
+                                   time_point now) const;
+  void hold_room(step_state& step, time_point now);
+  bool is_room_held(const worker_state& worker, const step_state& step,
+                    time_point now) const;
+  void note_backfill(const worker_state& worker, const step_state& step,
+                     time_point now);
+  double size_cost(const worker_state& worker, const step_state& step) const;
   void start(step_state& step, int index, worker_state& worker, int number,
              time_point now, std::vector<order>& orders);
 
@@ -334,6 +362,10 @@
   run_time_model run_time_model_;
   job_order job_order_;
   organisation_shares shares_;
+  reservations reservations_;
+  look_ahead_counts look_ahead_counts_;
+  /// Processor capacity of the smallest worker, in thousandths of a core.
+  std::int64_t smallest_worker_cpu_ = 0;
   /// Reserved share of the processor capacity of all reachable workers.
   double utilisation_ = 1;
   /// When the leases on lost workers end, as known to earlier leaders.
--- a/packages/batch/src/job_directory.cc
+++ b/packages/batch/src/job_directory.cc
@@ -41,10 +41,18 @@
   }
   if (kind == record_kind::state) {
     adjust_pending(found->second, -1);
+    drop_spec(found->second);
     entries_.erase(found);
   } else if (kind == record_kind::job) {
     adjust_pending(found->second, -1);
-    found->second.spec.reset();
+    drop_spec(found->second);
+  }
+}
+
+void job_directory::drop_spec(entry& job) {
+  if (job.spec != nullptr) {
+    memory_bytes_ -= memory_of(*job.spec);
+    job.spec.reset();
   }
 }
 
@@ -61,6 +69,7 @@
   auto& job = entries_[id];
   job.status.queue = spec->queue;
   job.spec = std::make_shared<const job_spec>(std::move(*spec));
+  memory_bytes_ += memory_of(*job.spec);
   adjust_pending(job, 1);
   return has_ended(job.status.state) ? change::duplicate_job
                                      : change::job_added;
@@ -112,6 +121,7 @@
     bool has_cancellation = exists(record_kind::cancellation);
     if (!has_spec && !has_state && !has_cancellation) {
       adjust_pending(job, -1);
+      drop_spec(job);
       entries_.erase(current);
       ++changed;
       continue;
@@ -125,7 +135,7 @@
     ++changed;
     adjust_pending(job, -1);
     if (loses_spec) {
-      job.spec.reset();
+      drop_spec(job);
     }
     if (loses_state) {
       // The id was submitted again after the state of its earlier job was
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -340,19 +340,8 @@
       complete_task(*step, record.index, now);
     }
     for (const auto& run : record.runs) {
-      auto& worker = workers_[run.worker];
-      if (worker == nullptr) {
-        worker = std::make_unique<worker_state>();
-        worker->entry.info.id = run.worker;
-        auto ends_at = takeover_ + options_.previous_leader_lease;
-        if (auto known = inherited_lease_ends_.find(run.worker);
-            known != inherited_lease_ends_.end()) {
-          ends_at = std::min(ends_at, known->second);
-          worker->contact_lost = true;
-        }
-        worker->lease = lease_bound(ends_at);
-      }
-      add_run(*step, record.index, *worker, run.number, now);
+      auto& worker = find_or_add_worker(run.worker);
+      add_run(*step, record.index, worker, run.number, now);
       auto& added = task.runs.back();
       added.incarnation = run.incarnation;
       added.phase = run_phase::running;
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -8,6 +8,7 @@
 #include <tuple>
 #include <utility>
 
+#include "batch/detail/ranked_step.h"
 #include "batch/detail/scheduler_state.h"
 #include "batch/scheduler.h"
 
@@ -28,9 +29,6 @@
 
 /// Minimum time between two log lines on why a step waits.
 constexpr milliseconds wait_log_interval{2000};
-/// How long waiting long-running tasks let tasks that end by themselves start
-/// first. Well below 6 s, after which a task that does not run counts as lost.
-constexpr milliseconds long_running_patience{3500};
 /// How long a task is not placed on the worker on which it failed last. The
 /// worker may be the only one that can run it, and a task that waits for 3 s
 /// beside free room counts as lost.
@@ -137,6 +135,8 @@
       return "no_spare_processor";
     case obstacle::no_room:
       return "no_room";
+    case obstacle::room_held:
+      return "room_held";
     case obstacle::lease_not_settled:
       return "lease_not_settled";
     case obstacle::not_trusted:
@@ -147,64 +147,6 @@
   return "unknown";
 }
 
-struct scheduler::ranked_step {
-  step_state* step = nullptr;
-  int priority = 0;
-  /// Whether the job is one beyond the rate of its organisation.
-  bool surplus = false;
-  /// 0: on time, 1: late, 2: too late for the result to have any value. A
-  /// long-running step that yields to short ones yields to late ones too.
-  int lateness = 0;
-  /// A long-running task loses little by a short wait, and keeps its room for
-  /// minutes; a task that ends by itself returns it soon.
-  bool yields_to_short = false;
-  time_point position;
-
-  bool operator<(const ranked_step& other) const {
-    return std::tie(surplus, lateness, priority, yields_to_short, position) <
-           std::tie(other.surplus, other.lateness, other.priority,
-                    other.yields_to_short, other.position);
-  }
-};
-
-std::vector<scheduler::ranked_step> scheduler::rank_steps(time_point now) {
-  std::vector<ranked_step> ranked;
-  for (auto& [id, job] : jobs_) {
-    for (auto& occurrence : job->occurrences) {
-      double remaining_work = occurrence.remaining_work();
-      for (auto& step : occurrence.steps) {
-        if (step.waiting_tasks == 0 || !is_ready(step)) {
-          step.waiting_since.reset();
-          continue;
-        }
-        if (!step.waiting_since) {
-          step.waiting_since = now;
-        }
-        if (step.ready_since == time_point()) {
-          step.ready_since = now;
-        }
-        bool yields = step.spec->long_running &&
-                      now - *step.waiting_since < long_running_patience;
-        ranked_step each{&step,        job->policy.priority,
-                         job->surplus, yields ? 1 : 0,
-                         yields,       job->deadlines.due_at};
-        if (!step.spec->long_running) {
-          each.position = job_order_.position(
-              job->spec->queue, job->deadlines.due_at, remaining_work);
-          if (now > job->deadlines.expired_at) {
-            each.lateness = 2;
-          } else if (now + step.remaining_chain > job->deadlines.due_at) {
-            each.lateness = 1;
-          }
-        }
-        ranked.push_back(each);
-      }
-    }
-  }
-  std::ranges::sort(ranked, std::less<>());
-  return ranked;
-}
-
 /// @return the obstacle on the worker for each task of the step, whatever else
 ///   runs there.
 scheduler::obstacle scheduler::worker_obstacle(const worker_state& worker,
@@ -242,18 +184,6 @@
   return obstacle::none;
 }
 
-/// @return whether the members of a gang's run are all still wanted; without
-///   one of them the others would wait in vain.
-bool scheduler::is_gang_whole(const step_state& step, int run,
-                              time_point now) const {
-  return std::ranges::all_of(step.tasks, [&](const auto& task) {
-    auto member = std::ranges::find(task.runs, run, &detail::run_state::number);
-    return member != task.runs.end() && member->phase != run_phase::stopping &&
-           (member->phase == run_phase::running ||
-            worker_obstacle(*member->worker, step, now) == obstacle::none);
-  });
-}
-
 std::string_view scheduler::start_obstacle(const start_order& start,
                                            time_point now) const {
   const auto* worker = find_worker(start.worker);
@@ -318,6 +248,9 @@
       count_runs_of_step(worker, step) >= spec.per_worker_limit) {
     return obstacle::limit_per_worker;
   }
+  if (is_room_held(worker, step, now)) {
+    return obstacle::room_held;
+  }
   if (spec.best_effort && !is_starved(step, now) &&
       expected_speed(worker, step) < min_speed(step, now)) {
     return obstacle::presses_on_serving;
@@ -383,7 +316,7 @@
   if (!worker.trust.last_task_succeeded()) {
     cost += unproven_worker_cost * (1 + task.failures);
   }
-  cost += worker.trust.consecutive_failures();
+  cost += worker.trust.consecutive_failures() + size_cost(worker, step);
   if (!spec.data_rack.empty() && info.rack != spec.data_rack) {
     cost += remote_data_cost;
   }
@@ -503,6 +436,7 @@
                       int number, time_point now, std::vector<order>& orders) {
   units_spent_ += start_cost_units;
   auto& task = step.tasks[static_cast<std::size_t>(index)];
+  note_backfill(worker, step, now);
   add_run(step, index, worker, number, now);
   step.mark_dirty(index);
   task_key key{step.key, index};
@@ -517,110 +451,6 @@
                                step.spec->checkpoints ? task.checkpoint : ""});
 }
 
-/// @return whether the free room of the workers might hold all tasks of a gang.
-///   Examines each worker once, while placing examines all of them for each
-///   task: a gang of 50,000 tasks that never fits took seconds of each plan.
-bool scheduler::has_room_for_gang(const step_state& step, time_point now,
-                                  std::string_view rack) const {
-  const auto& spec = *step.spec;
-  auto need = spec.required_resources;
-  if (spec.best_effort) {
-    need.cpu_millis = 0;
-  }
-  std::int64_t room = 0;
-  for (const auto& [id, worker] : workers_) {
-    if (!rack.empty() && worker->entry.info.rack != rack) {
-      continue;
-    }
-    auto found = obstacle_at(*worker, step, step.tasks.front(), now);
-    if (found != obstacle::none && found != obstacle::not_trusted) {
-      continue;
-    }
-    auto free = worker->free_resources();
-    std::int64_t fitting = spec.count;
-    auto limit = [&fitting](std::int64_t available, std::int64_t per_task) {
-      if (per_task > 0) {
-        fitting = std::min(fitting, available / per_task);
-      }
-    };
-    limit(free.cpu_millis, need.cpu_millis);
-    limit(free.memory_mib, need.memory_mib);
-    limit(free.accelerators, need.accelerators);
-    if (spec.per_worker_limit > 0) {
-      fitting = std::min<std::int64_t>(fitting, spec.per_worker_limit);
-    }
-    room += std::max<std::int64_t>(fitting, 0);
-    if (room >= spec.count) {
-      return true;
-    }
-  }
-  return false;
-}
-
-bool scheduler::place_gang(step_state& step, time_point now,
-                           std::vector<order>& orders) {
-  int number = 0;
-  std::string checkpoint;
-  for (const auto& task : step.tasks) {
-    if (!task.runs.empty()) {
-      return false;
-    }
-    number = std::max(number, task.last_run);
-    if (!task.checkpoint.empty()) {
-      checkpoint = task.checkpoint;
-    }
-  }
-  ++number;
-  std::set<std::string> racks = {""};
-  if (step.spec->same_rack) {
-    for (const auto& [id, worker] : workers_) {
-      racks.insert(worker->entry.info.rack);
-    }
-  }
-  // Tries single racks first and all racks, the empty name, last.
-  std::vector<std::pair<std::string, bool>> tries;
-  for (bool trusted_only : {true, false}) {
-    for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
-      tries.emplace_back(*rack, trusted_only);
-    }
-    bool all_trusted = std::ranges::all_of(workers_, [now](const auto& each) {
-      return each.second->trust.may_start(now, 1);
-    });
-    if (all_trusted) {
-      break;
-    }
-  }
-  for (const auto& [rack, trusted_only] : tries) {
-    if (!has_room_for_gang(step, now, rack)) {
-      continue;
-    }
-    std::vector<worker_state*> chosen;
-    for (std::size_t n = 0; n < step.tasks.size(); ++n) {
-      auto* worker =
-          choose_worker(step, step.tasks[n], now, rack, trusted_only);
-      if (worker == nullptr) {
-        break;
-      }
-      chosen.push_back(worker);
-      add_run(step, static_cast<int>(n), *worker, number, now);
-    }
-    bool complete = chosen.size() == step.tasks.size();
-    for (std::size_t n = 0; n < chosen.size(); ++n) {
-      int last_run = step.tasks[n].last_run;
-      remove_run(step, static_cast<int>(n), number);
-      step.tasks[n].last_run = complete ? last_run : number - 1;
-    }
-    if (complete) {
-      for (std::size_t n = 0; n < chosen.size(); ++n) {
-        step.tasks[n].checkpoint = checkpoint;
-        start(step, static_cast<int>(n), *chosen[n], number, now, orders);
-      }
-      return true;
-    }
-  }
-  return false;
-}
-
 bool scheduler::unmet_demand::covers(const step_state& other, bool starved,
                                      double other_speed) const {
   bool is_comparable =
@@ -706,6 +536,7 @@
     ++round_;
   }
   budget_exhausted_ = false;
+  begin_look_ahead();
   auto ranked = rank_steps(now);
   if (!shares_.enabled()) {
     budget_exhausted_ =
@@ -752,6 +583,9 @@
       return false;
     }
     last_round = round_;
+    if (result == placement::unmet) {
+      hold_room(step, now);
+    }
     bool restricted =
         !step.spec->required_label.empty() || step.spec->per_worker_limit > 0;
     if (result == placement::unmet && !restricted) {
--- a/packages/batch/src/scheduler_shares.cc
+++ b/packages/batch/src/scheduler_shares.cc
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <iterator>
 
-#include "batch/detail/scheduler_state.h"
-#include "batch/scheduler.h"
+#include "batch/detail/ranked_step.h"
 
 namespace vanillaladder::batch {
 
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -43,6 +43,23 @@
   return "unknown";
 }
 
+scheduler::worker_state& scheduler::find_or_add_worker(
+    const model::worker_id& id) {
+  auto& worker = workers_[id];
+  if (worker == nullptr) {
+    worker = std::make_unique<worker_state>();
+    worker->entry.info.id = id;
+    auto lease_ends_at = takeover_ + options_.previous_leader_lease;
+    if (auto known = inherited_lease_ends_.find(id);
+        known != inherited_lease_ends_.end()) {
+      lease_ends_at = std::min(lease_ends_at, known->second);
+      worker->contact_lost = true;
+    }
+    worker->lease = lease_bound(lease_ends_at);
+  }
+  return *worker;
+}
+
 scheduler::worker_state* scheduler::find_worker(std::string_view id) {
   auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : found->second.get();
@@ -55,11 +72,7 @@
 }
 
 void scheduler::update_worker(const worker_entry& entry, time_point now) {
-  auto& worker = workers_[entry.info.id];
-  if (worker == nullptr) {
-    worker = std::make_unique<worker_state>();
-    worker->lease = lease_bound(takeover_ + options_.previous_leader_lease);
-  }
+  auto* worker = &find_or_add_worker(entry.info.id);
   bool was_leaving = worker->listed &&
                      worker->entry.info.state == model::instance_state::leaving;
   bool leaving = entry.info.state == model::instance_state::leaving;
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -55,7 +55,8 @@
   /// restores the stored records of jobs that have not ended.
   /// @param lost what earlier leaders knew of workers without contact.
   void take_over(const std::vector<lost_worker>& lost) {
-    take_over();
+    scheduler_ = std::make_unique<scheduler>(
+        options_, now_, [this](std::string line) { log.push_back(line); });
     scheduler_->inherit_lost_workers(lost);
     for (const auto& [id, spec] : jobs) {
       scheduler_->add_job(spec, now_, wall_start);
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -393,6 +393,10 @@
   f.advance_time(10ms);
   f.report("w1");
   f.plan();
+  // The entry still describes the earlier process.
+  REQUIRE(f.workers.at("w1").running.empty());
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.plan();
   REQUIRE(f.workers.at("w1").running.size() == 1);
 }
 
@@ -414,6 +418,7 @@
   f.advance_time(10ms);
   f.report("w1");
   auto reported_at = f.now();
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
   f.plan();
   REQUIRE(f.workers.at("w1").running.empty());
   REQUIRE(f.logged("lease_not_settled id=w1"));
--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -46,6 +46,10 @@
   /// Maximum age of a count of pending jobs; a copy that may be older when it
   /// is shown is read first.
   static constexpr std::chrono::milliseconds max_pending_age{2000};
+  /// Memory that the jobs of all callers may take, as each daemon has a copy of
+  /// them and the leader keeps the state of their tasks. The smallest instance
+  /// has 160 MiB; 119,700 tasks take 24 MB.
+  static constexpr std::size_t max_jobs_bytes = 64U << 20;
 
   /// @param loop must outlive the service, as must `store`, `jobs`, `config`
   ///   and `follower`.
--- a/packages/dispatch/include/dispatch/settings.h
+++ b/packages/dispatch/include/dispatch/settings.h
@@ -10,6 +10,7 @@
 
 #include "dispatch/call_routing.h"
 #include "external/keyed_store.h"
+#include "http/connection_limits.h"
 
 namespace vanillaladder::dispatch {
 
@@ -46,17 +47,27 @@
   std::chrono::milliseconds state_retention{120000};
   /// Section `[limits]`.
   unsigned max_descriptors = 4000;
+  /// Memory of the machine that this daemon may use, in MiB.
+  std::size_t memory_mib = 160;
   /// Processor capacity of this daemon: share of a core, and speed of that core
   /// relative to the usual one. Daemons with high capacity are preferred as
   /// leader.
   double processor_share = 1;
   double processor_speed = 1;
+  /// Section `[placement]`: whether room is held for tasks that wait.
+  bool look_ahead = false;
   /// Section `[access]`.
   access_options access;
   /// Maximum time that a shutdown may take.
   std::chrono::milliseconds stop_limit{6000};
 };
 
+/// @return the limits of the callers' connections. Most descriptors are kept
+/// for
+///   the store and the workers, of which the leader has up to three connections
+///   each, and an eighth of the memory holds requests.
+http::connection_limits caller_limits(const daemon_settings& settings);
+
 /// Reads settings from TOML text.
 /// @param name source of the text in error messages, such as the path of the
 ///   file.
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -47,9 +47,6 @@
   auto decision = route_call(*config_, call, age, access_);
   if (std::holds_alternative<unknown_key>(decision)) {
     report_.count("vanillaladder_calls_refused_total", "reason", "unknown_key");
-  } else if (std::holds_alternative<stale_config>(decision)) {
-    report_.count("vanillaladder_calls_refused_total", "reason",
-                  "config_stale");
   }
   return decision;
 }
@@ -112,6 +109,15 @@
     done(result);
     return;
   }
+  if (jobs_->memory_bytes() + memory_of(spec) > max_jobs_bytes) {
+    report_.count("vanillaladder_submissions_refused_total", "reason",
+                  "jobs_memory");
+    report_.routine("desk", absl::StrCat("submit_refused id=", spec.id,
+                                         " reason=jobs_memory jobs_bytes=",
+                                         jobs_->memory_bytes()));
+    done(outcomes_.refusal_of(spec.id));
+    return;
+  }
   spec.queue = queue.name;
   spec.policy = queue.policy;
   spec.accepted_at = wall_now();
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -82,6 +82,7 @@
   void plan_changes();
   void tick();
   void report_organisations();
+  void report_look_ahead();
   void sweep();
   void on_superseded(std::string_view noticed_by);
   void defer(std::chrono::milliseconds pause, std::function<void()> step);
@@ -345,6 +346,7 @@
     sweep();
   }
   report_organisations();
+  report_look_ahead();
   send_unplanned_orders();
   plan();
 }
@@ -374,6 +376,18 @@
   }
 }
 
+void leader::impl::report_look_ahead() {
+  if (!options.scheduling.look_ahead) {
+    return;
+  }
+  const auto& counts = scheduler.look_ahead_decisions();
+  auto& metrics = context.report.metrics();
+  metrics.gauge("vanillaladder_held_steps")
+      .set(static_cast<double>(counts.held_steps));
+  metrics.gauge("vanillaladder_backfilled_starts")
+      .set(static_cast<double>(counts.backfilled_starts));
+}
+
 /// Sends the orders that need no stored record, such as stops. They don't wait
 /// for the append in flight, which may have no answer for long.
 void leader::impl::send_unplanned_orders() {
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -297,6 +297,7 @@
                                              handover_slack;
   options.scheduling.state_retention = 2 * settings_.state_retention;
   options.scheduling.early_start = settings_.early_start / 2;
+  options.scheduling.look_ahead = settings_.look_ahead;
   options.scheduling.move_cost =
       settings_.run_stop_time + settings_.restore_time;
   options.links.lease_duration = lease;
--- a/packages/dispatch/src/settings.cc
+++ b/packages/dispatch/src/settings.cc
@@ -77,6 +77,14 @@
   };
 }
 
+value_reader flag_reader(bool& target) {
+  return [&target](const toml::node& node) -> std::string {
+    auto value = node.value_exact<bool>();
+    target = value.value_or(false);
+    return value ? "" : "true or false";
+  };
+}
+
 value_reader size_reader(std::size_t& target, std::size_t min,
                          std::size_t max) {
   return [&target, min, max](const toml::node& node) -> std::string {
@@ -128,13 +136,9 @@
        {false, milliseconds_reader(settings.state_retention, 1000, 86400000)}},
       {"jobs.state_retention_s",
        {false, seconds_reader(settings.state_retention, 1, 86400)}},
+      {"placement.look_ahead", {false, flag_reader(settings.look_ahead)}},
       {"access.strict_revocation",
-       {false,
-        [&settings](const toml::node& node) -> std::string {
-          auto value = node.value_exact<bool>();
-          settings.access.strict_revocation = value.value_or(false);
-          return value ? "" : "true or false";
-        }}},
+       {false, flag_reader(settings.access.strict_revocation)}},
       {"access.revocation_limit_ms",
        {false,
         milliseconds_reader(settings.access.revocation_limit, 1000, 600000)}},
@@ -145,6 +149,8 @@
        {false, positive_number_reader(settings.processor_share, 1024)}},
       {"limits.processor_speed",
        {false, positive_number_reader(settings.processor_speed, 1024)}},
+      {"limits.memory_mb",
+       {false, size_reader(settings.memory_mib, 64, 1U << 20)}},
       {"limits.max_descriptors",
        {false,
         [&settings](const toml::node& node) -> std::string {
@@ -190,6 +196,15 @@
 
 }  // namespace
 
+http::connection_limits caller_limits(const daemon_settings& settings) {
+  constexpr std::size_t memory_parts = 8;
+  constexpr std::size_t descriptor_parts = 4;
+  http::connection_limits limits;
+  limits.max_buffered_bytes = (settings.memory_mib << 20U) / memory_parts;
+  limits.max_connections = settings.max_descriptors / descriptor_parts;
+  return limits;
+}
+
 absl::StatusOr<daemon_settings> parse_settings(
     std::string_view text, std::string_view name,
     std::span<const std::string> overrides) {
--- a/packages/dispatch/test/job_service_test.cc
+++ b/packages/dispatch/test/job_service_test.cc
@@ -61,7 +61,18 @@
   REQUIRE(f.submit("a") == submit_result::unknown);
   f.store.unreachable = false;
   REQUIRE(cancel("a") == cancel_result::cancelled);
+  auto before = f.store.appends;
+  REQUIRE(cancel("b") == cancel_result::no_such_job);
+  // It holds if a submission at another daemon takes effect later, but no job
+  // is shown that nobody has submitted.
+  REQUIRE(f.store.appends == before + 1);
+  REQUIRE(f.jobs.find("b")->cancelled);
+  std::optional<job_answer> shown;
+  f.service.show("b", [&](job_answer answer) { shown = answer; });
+  f.run_until([&] { return shown.has_value(); });
+  REQUIRE(shown->outcome == job_answer::kind::no_such_job);
   REQUIRE(cancel("b") == cancel_result::no_such_job);
+  REQUIRE(f.store.appends == before + 1);
   batch::job_spec spec;
   spec.steps = {{.count = 1}};
   spec.id = "a";
@@ -74,6 +85,81 @@
   REQUIRE(f.jobs.find("a")->visible_state() == batch::job_state::cancelled);
 }
 
+// Guards against a job that runs although its cancel was acknowledged: the
+// cancel reached another daemon before the append of the submission took
+// effect.
+TEST_CASE("a submission that comes after its cancel is cancelled") {
+  fixture f;
+  std::optional<cancel_result> result;
+  f.service.cancel("a", [&](cancel_result made) { result = made; });
+  f.run_until([&] { return result.has_value(); });
+  REQUIRE(f.submit("a") == submit_result::accepted);
+  REQUIRE(f.jobs.find("a")->visible_state() == batch::job_state::cancelled);
+}
+
+TEST_CASE("a cancel that can't be stored is not acknowledged") {
+  fixture f;
+  f.store.unreachable = true;
+  std::optional<cancel_result> result;
+  f.service.cancel("a", [&](cancel_result made) { result = made; });
+  f.run_until([&] { return result.has_value(); });
+  REQUIRE(*result == cancel_result::unavailable);
+}
+
+// Guards against a job that is accepted, but whose record the store refuses,
+// together with the submissions in the same append.
+TEST_CASE("a job whose record exceeds the store's limit is refused") {
+  fixture f;
+  batch::job_spec spec;
+  spec.id = "a";
+  spec.steps.assign(20'000, {.count = 1, .required_resources = {1000, 1, 0}});
+  std::optional<submit_result> result;
+  auto before = f.store.appends;
+  f.service.submit(f.queue, spec, [&](submit_result made) { result = made; });
+  REQUIRE(result == submit_result::too_large);
+  REQUIRE(f.store.appends == before);
+}
+
+// Guards against jobs that together fill the memory of each daemon.
+TEST_CASE("jobs beyond the memory for jobs are refused") {
+  fixture f;
+  int accepted = 0;
+  submit_result last = submit_result::accepted;
+  while (last == submit_result::accepted) {
+    REQUIRE(accepted < 100);
+    batch::job_spec spec;
+    spec.id = "a" + std::to_string(accepted++);
+    spec.steps = {{.count = batch::max_tasks_per_job}};
+    std::optional<submit_result> result;
+    f.service.submit(f.queue, spec, [&](submit_result made) { result = made; });
+    f.run_until([&] { return result.has_value(); });
+    last = *result;
+  }
+  REQUIRE(last == submit_result::refused);
+  REQUIRE(f.jobs.memory_bytes() <= job_service::max_jobs_bytes);
+}
+
+// Guards against a wrong count for callers while the store is away.
+TEST_CASE("pending jobs are counted on a current copy or not at all") {
+  fixture f;
+  REQUIRE(f.submit("a") == submit_result::accepted);
+  auto count = [&] {
+    std::optional<std::optional<int>> answer;
+    f.service.pending("q", [&](std::optional<int> made) { answer = made; });
+    f.run_until([&] { return answer.has_value(); });
+    return *answer;
+  };
+  REQUIRE(count() == 1);
+  f.store.unresponsive = true;
+  bool elapsed = false;
+  f.loop.call_after(
+      job_service::max_pending_age + std::chrono::milliseconds(50),
+      [&] { elapsed = true; });
+  f.run_until([&] { return elapsed; });
+  REQUIRE(count() == std::nullopt);
+  f.store.unresponsive = false;
+}
+
 // A refusal tells the caller that the job never runs. After a lost answer the
 // job may be stored already.
 TEST_CASE("a submission is not refused after an answer to it was lost") {
--- a/packages/dispatch/test/settings_test.cc
+++ b/packages/dispatch/test/settings_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 namespace vanillaladder::dispatch {
 namespace {
@@ -27,6 +28,36 @@
   REQUIRE(settings->longest_lease == std::chrono::milliseconds(6000));
 }
 
+// Guards against a daemon that doesn't start, and a rolling restart that ends
+// with none, after a bound became a fraction.
+TEST_CASE("times may be fractions") {
+  auto text = std::string(complete) +
+              "run_stop_ms = 200.5\n[limits]\nstop_s = 6.5\n"
+              "[jobs]\nstate_retention_s = 120\n";
+  auto settings = parse_settings(text, "s.toml");
+  REQUIRE(settings.ok());
+  REQUIRE(settings->run_stop_time == std::chrono::milliseconds(201));
+  REQUIRE(settings->stop_limit == std::chrono::milliseconds(6500));
+  REQUIRE(settings->state_retention == std::chrono::milliseconds(120000));
+}
+
+TEST_CASE("values of the command line go before those of the file") {
+  std::vector<std::string> overrides = {
+      "limits.memory_mb=512", "access.strict_revocation=true",
+      "access.revocation_limit_ms=", "instance.id=front-2"};
+  auto text = std::string(complete) + "[limits]\nmemory_mb = 160\n";
+  auto settings = parse_settings(text, "s.toml", overrides);
+  REQUIRE(settings.ok());
+  REQUIRE(settings->memory_mib == 512);
+  REQUIRE(settings->access.strict_revocation);
+  REQUIRE(settings->access.revocation_limit == std::chrono::milliseconds(5000));
+  REQUIRE(settings->instance == "front-2");
+  std::vector<std::string> unknown = {"limits.odd=1"};
+  REQUIRE_FALSE(parse_settings(complete, "s.toml", unknown).ok());
+  std::vector<std::string> malformed = {"limits"};
+  REQUIRE_FALSE(parse_settings(complete, "s.toml", malformed).ok());
+}
+
 TEST_CASE("processor share and speed may be fractions or integers") {
   auto text = std::string(complete) +
               "[limits]\nprocessor_share = 0.5\nprocessor_speed = 2\n";
--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -6,7 +6,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
+#include "http/connection_limits.h"
 #include "http/event_loop.h"
 #include "http/message.h"
 
@@ -34,10 +36,18 @@
   /// 0 picks a free port.
   std::uint16_t port = 0;
   std::size_t max_request_bytes = 1U << 20;
+  connection_limits limits = {};
+  /// Called with the cause when a connection is closed or a request refused to
+  /// keep the server within its limits.
+  std::function<void(std::string_view cause)> on_limit = {};
 };
 
-/// An HTTP/1.1 server. It answers 413 to a body above `max_request_bytes`, 411
-/// to a chunked body and to a POST, PUT or PATCH without a content length.
+/// An HTTP/1.1 server. It answers 413 to a body above `max_request_bytes`, 431
+/// to headers above the limit, 411 to a chunked body and to a POST, PUT or
+/// PATCH without a content length, 408 to a request that takes too long to
+/// arrive, and 503 to one for which memory is short. None of these has run.
+///
+/// The next request of a connection is parsed once the one before is answered.
 class server {
  public:
   using handler =
@@ -55,8 +65,11 @@
 
   /// @return the port it listens on.
   std::uint16_t port() const;
-  /// @return requests received whose responses have not been sent.
+  /// @return requests whose responses have not been sent, among them those that
+  ///   are still arriving.
   std::size_t open_requests() const;
+  /// Changes `max_request_bytes` for requests that begin later.
+  void set_max_request_bytes(std::size_t bytes);
   /// Closes each connection after its next response instead of keeping it
   /// open; part of a graceful shutdown.
   void disable_keep_alive();
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -1,6 +1,8 @@
 #include "http/server.h"
 
+#include <absl/strings/str_cat.h>
 #include <libwebsockets.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -8,358 +10,524 @@
 #include <unordered_map>
 #include <vector>
 
-#include "http/detail/headers.h"
+#include "http/detail/connection_ledger.h"
+#include "http/detail/request_reader.h"
 #include "runtime/error.h"
 
 namespace vanillaladder::http {
 namespace {
 
-constexpr std::size_t write_chunk_bytes = 16384;
-constexpr std::size_t header_buffer_bytes = 8192;
-constexpr unsigned idle_timeout_s = 30;
-
-struct method_token {
-  const char* name;
-  lws_token_indexes token;
-};
-
-constexpr method_token method_tokens[] = {
-    {"GET", WSI_TOKEN_GET_URI},     {"POST", WSI_TOKEN_POST_URI},
-    {"PUT", WSI_TOKEN_PUT_URI},     {"DELETE", WSI_TOKEN_DELETE_URI},
-    {"PATCH", WSI_TOKEN_PATCH_URI}, {"OPTIONS", WSI_TOKEN_OPTIONS_URI},
-    {"HEAD", WSI_TOKEN_HEAD_URI},
-};
-
-std::string read_query(lws* connection) {
-  std::string query;
-  int length = lws_hdr_total_length(connection, WSI_TOKEN_HTTP_URI_ARGS);
-  if (length <= 0) {
-    return query;
-  }
-  std::array<char, 4096> buffer{};
-  for (int n = 0; lws_hdr_copy_fragment(connection, buffer.data(),
-                                        static_cast<int>(buffer.size()),
-                                        WSI_TOKEN_HTTP_URI_ARGS, n) > 0;
-       ++n) {
-    query += query.empty() ? '?' : '&';
-    query += buffer.data();
-  }
-  return query;
-}
+using clock = std::chrono::steady_clock;
+using detail::connection_ledger;
+using detail::request_reader;
+using activity = connection_ledger::activity;
 
-request read_request(lws* connection) {
-  request message;
-  for (const auto& method : method_tokens) {
-    if (lws_hdr_total_length(connection, method.token) > 0) {
-      message.method = method.name;
-      std::array<char, 4096> path{};
-      lws_hdr_copy(connection, path.data(), static_cast<int>(path.size()),
-                   method.token);
-      message.target = path.data();
-    }
-  }
-  message.target += read_query(connection);
-  std::array<char, 256> host{};
-  if (lws_hdr_copy(connection, host.data(), static_cast<int>(host.size()),
-                   WSI_TOKEN_HOST) > 0) {
-    message.host = host.data();
+constexpr std::size_t write_chunk_bytes = 16384;
+/// How often time limits are checked.
+constexpr std::chrono::milliseconds sweep_interval{500};
+/// What a caller may still send after a refusal, and for how long it is read: a
+/// connection that is closed with unread bytes is reset, and the caller might
+/// not see the answer.
+constexpr std::size_t max_discarded_bytes = 1U << 20;
+constexpr std::chrono::milliseconds max_discard_time{1000};
+/// Seconds after which a refused caller may come again.
+constexpr std::string_view retry_after_s = "1";
+constexpr const char* protocol_name = "vl-server";
+
+std::string_view reason_of(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 204:
+      return "No Content";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 410:
+      return "Gone";
+    case 411:
+      return "Length Required";
+    case 413:
+      return "Payload Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
   }
-  message.headers = detail::read_headers(connection);
-  return message;
 }
 
-std::optional<std::size_t> content_length(lws* connection) {
-  if (lws_hdr_total_length(connection, WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0) {
-    return std::nullopt;
+std::string serialize_head(const response& answer, bool close) {
+  auto text = absl::StrCat("HTTP/1.1 ", answer.status, " ",
+                           std::string(reason_of(answer.status)), "\r\n");
+  if (answer.status != 204) {
+    absl::StrAppend(&text, "content-length: ", answer.body.size(), "\r\n");
   }
-  std::array<char, 32> buffer{};
-  lws_hdr_copy(connection, buffer.data(), static_cast<int>(buffer.size()),
-               WSI_TOKEN_HTTP_CONTENT_LENGTH);
-  return static_cast<std::size_t>(std::strtoull(buffer.data(), nullptr, 10));
-}
-
-bool requires_content_length(std::string_view method) {
-  return method == "POST" || method == "PUT" || method == "PATCH";
+  for (const auto& item : answer.headers) {
+    absl::StrAppend(&text, item.name, ": ", item.value, "\r\n");
+  }
+  absl::StrAppend(&text, close ? "connection: close\r\n\r\n" : "\r\n");
+  return text;
 }
 
 /// One request on one connection, until its response has been written.
 class exchange : public responder {
  public:
-  explicit exchange(lws* connection) : connection_(connection) {}
+  explicit exchange(lws* native) : native_(native) {}
 
   void respond(response answer) override {
-    if (connection_ == nullptr || answer_ || aborted_) {
+    if (native_ == nullptr || answer_ || aborted_) {
       return;
     }
     answer_ = std::move(answer);
-    lws_callback_on_writable(connection_);
+    lws_callback_on_writable(native_);
   }
 
   void abort() override {
-    if (connection_ == nullptr || answer_) {
+    if (native_ == nullptr || answer_) {
       return;
     }
     aborted_ = true;
-    lws_callback_on_writable(connection_);
+    lws_callback_on_writable(native_);
   }
 
-  bool connected() const override { return connection_ != nullptr; }
+  bool connected() const override { return native_ != nullptr; }
 
   void on_disconnect(std::function<void()> callback) override {
     on_disconnect_ = std::move(callback);
   }
 
   void on_connection_closed() {
-    connection_ = nullptr;
+    native_ = nullptr;
     if (auto callback = std::exchange(on_disconnect_, nullptr)) {
       callback();
     }
   }
 
   void mark_finished() {
-    connection_ = nullptr;
+    native_ = nullptr;
     on_disconnect_ = nullptr;
   }
 
-  request message;
-  std::size_t body_bytes_expected = 0;
-  bool close_after_response = false;
-  bool dispatched = false;
-  bool headers_written = false;
-  std::size_t body_bytes_written = 0;
-
   const std::optional<response>& answer() const { return answer_; }
   bool aborted() const { return aborted_; }
 
  private:
-  lws* connection_;
+  lws* native_;
   std::optional<response> answer_;
   bool aborted_ = false;
   std::function<void()> on_disconnect_;
 };
 
+/// A connection of a caller.
+struct connection {
+  connection(const connection_limits& limits, std::size_t max_request_bytes)
+      : reader(limits.max_head_bytes, max_request_bytes) {}
+
+  connection_ledger::connection_id id = 0;
+  request_reader reader;
+  /// Bytes that arrived after the request that is being answered.
+  std::string pending;
+  bool reading_paused = false;
+  /// The request that is being answered; null if there is none.
+  std::shared_ptr<exchange> current;
+  std::size_t request_bytes = 0;
+  std::string head;
+  std::size_t head_written = 0;
+  bool head_made = false;
+  std::size_t body_written = 0;
+  bool continue_due = false;
+  bool close_after_response = false;
+  /// The response is sent; what still arrives is dropped until the caller
+  /// closes.
+  bool discarding = false;
+  std::size_t discarded_bytes = 0;
+};
+
 }  // namespace
 
 struct server::impl {
-  static int on_event(lws* connection, lws_callback_reasons reason, void* user,
+  static int on_event(lws* native, lws_callback_reasons reason, void* user,
                       void* in, std::size_t length);
 
-  int begin_exchange(lws* connection);
-  static int reject(exchange& current, int status);
-  int receive_body(lws* connection, std::string_view data);
-  void dispatch(const std::shared_ptr<exchange>& current);
-  int write_response(lws* connection);
-  int write_headers(lws* connection, exchange& current);
-  int write_body(lws* connection, exchange& current);
-  int finish_when_flushed(lws* connection);
-  int finish(lws* connection);
-  void on_closed(lws* connection);
+  int on_connected(lws* native);
+  void on_closed(lws* native);
+  int on_received(lws* native, connection& conn, std::string_view bytes);
+  void feed(lws* native, connection& conn, std::string_view bytes);
+  void on_parsed(lws* native, connection& conn);
+  void dispatch(lws* native, connection& conn);
+  void refuse(lws* native, connection& conn, int status);
+  int write(lws* native, connection& conn);
+  int write_response(lws* native, connection& conn);
+  int finish(lws* native, connection& conn);
+  int discard(connection& conn, std::size_t bytes);
+  void update_ledger(connection& conn);
+  void enforce_memory_limit();
+  void sweep();
+  void close_later(lws* native) const;
+  void report_limit(std::string_view cause) const;
+  lws* native_of(connection_ledger::connection_id id) const;
 
   event_loop* loop = nullptr;
   lws_vhost* vhost = nullptr;
   handler on_request;
-  std::size_t max_request_bytes = 0;
+  server_options options;
   std::uint16_t port = 0;
   bool closing = false;
-  std::unordered_map<lws*, std::shared_ptr<exchange>> exchanges;
+  bool destroyed = false;
+  bool sweep_scheduled = false;
+  std::unordered_map<lws*, std::unique_ptr<connection>> connections;
+  std::unordered_map<connection_ledger::connection_id, lws*> natives;
+  connection_ledger ledger;
   std::array<lws_protocols, 2> protocols{};
 };
 
-int server::impl::on_event(lws* connection, lws_callback_reasons reason,
-                           void* user, void* in, std::size_t length) {
-  auto* vhost = connection == nullptr ? nullptr : lws_get_vhost(connection);
+int server::impl::on_event(lws* native, lws_callback_reasons reason, void*,
+                           void* in, std::size_t length) {
+  auto* vhost = native == nullptr ? nullptr : lws_get_vhost(native);
   auto* self =
       vhost == nullptr ? nullptr : static_cast<impl*>(lws_vhost_user(vhost));
   if (self == nullptr) {
-    return lws_callback_http_dummy(connection, reason, user, in, length);
+    return 0;
+  }
+  if (reason == LWS_CALLBACK_RAW_ADOPT) {
+    return self->on_connected(native);
+  }
+  auto found = self->connections.find(native);
+  if (found == self->connections.end()) {
+    return 0;
   }
+  auto& conn = *found->second;
   switch (reason) {
-    case LWS_CALLBACK_HTTP:
-      return self->begin_exchange(connection);
-    case LWS_CALLBACK_HTTP_BODY:
-      return self->receive_body(connection, {static_cast<char*>(in), length});
-    case LWS_CALLBACK_HTTP_BODY_COMPLETION: {
-      auto found = self->exchanges.find(connection);
-      if (found != self->exchanges.end() && !found->second->dispatched) {
-        self->dispatch(found->second);
-      }
-      return 0;
-    }
-    case LWS_CALLBACK_HTTP_WRITEABLE:
-      return self->write_response(connection);
-    case LWS_CALLBACK_CLOSED_HTTP:
+    case LWS_CALLBACK_RAW_RX:
+      return self->on_received(native, conn, {static_cast<char*>(in), length});
+    case LWS_CALLBACK_RAW_WRITEABLE:
+      return self->write(native, conn);
+    case LWS_CALLBACK_RAW_CLOSE:
     case LWS_CALLBACK_WSI_DESTROY:
-      self->on_closed(connection);
+      self->on_closed(native);
       return 0;
     default:
-      return lws_callback_http_dummy(connection, reason, user, in, length);
+      return 0;
   }
 }
 
-int server::impl::begin_exchange(lws* connection) {
-  auto current = std::make_shared<exchange>(connection);
-  current->message = read_request(connection);
-  exchanges[connection] = current;
-  lws_set_timeout(connection, NO_PENDING_TIMEOUT, 0);
-  auto length = content_length(connection);
-  bool chunked =
-      lws_hdr_total_length(connection, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
-  if (chunked ||
-      (!length && requires_content_length(current->message.method))) {
-    return reject(*current, 411);
-  }
-  current->body_bytes_expected = length.value_or(0);
-  if (current->body_bytes_expected > max_request_bytes) {
-    return reject(*current, 413);
-  }
-  if (current->body_bytes_expected == 0) {
-    dispatch(current);
+void server::impl::report_limit(std::string_view cause) const {
+  if (options.on_limit) {
+    options.on_limit(cause);
   }
-  return 0;
 }
 
-int server::impl::reject(exchange& current, int status) {
-  current.dispatched = true;
-  current.close_after_response = true;
-  current.respond({status, {}, ""});
+lws* server::impl::native_of(connection_ledger::connection_id id) const {
+  return natives.at(id);
+}
+
+/// Closes a connection outside of its own events.
+void server::impl::close_later(lws* native) const {
+  lws_set_timeout(native, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+int server::impl::on_connected(lws* native) {
+  lws_set_timeout(native, NO_PENDING_TIMEOUT, 0);
+  auto conn =
+      std::make_unique<connection>(options.limits, options.max_request_bytes);
+  conn->id = ledger.add(clock::now());
+  natives.emplace(conn->id, native);
+  auto id = conn->id;
+  connections.emplace(native, std::move(conn));
+  if (ledger.size() > options.limits.max_connections) {
+    report_limit("connections");
+    auto victim = ledger.pick_for_room(id);
+    if (!victim) {
+      on_closed(native);
+      return -1;
+    }
+    auto* closed = native_of(*victim);
+    on_closed(closed);
+    close_later(closed);
+  }
+  if (!sweep_scheduled) {
+    sweep_scheduled = true;
+    loop->call_after(sweep_interval, [this] { sweep(); });
+  }
   return 0;
 }
 
-int server::impl::receive_body(lws* connection, std::string_view data) {
-  auto found = exchanges.find(connection);
-  if (found == exchanges.end()) {
-    return 0;
+void server::impl::on_closed(lws* native) {
+  auto found = connections.find(native);
+  if (found == connections.end()) {
+    return;
   }
-  auto& current = *found->second;
-  if (current.dispatched) {
-    return 0;
+  auto conn = std::move(found->second);
+  connections.erase(found);
+  natives.erase(conn->id);
+  ledger.remove(conn->id);
+  if (conn->current != nullptr) {
+    conn->current->on_connection_closed();
   }
-  auto& body = current.message.body;
-  body.append(data.substr(0, current.body_bytes_expected - body.size()));
-  if (body.size() == current.body_bytes_expected) {
-    dispatch(found->second);
+}
+
+void server::impl::update_ledger(connection& conn) {
+  auto& entry = ledger.at(conn.id);
+  auto bytes = conn.reader.buffered_bytes() + conn.pending.capacity();
+  if (conn.current != nullptr) {
+    entry.doing = activity::answering;
+    bytes += conn.request_bytes;
+  } else {
+    auto state = conn.reader.current_state();
+    bool receives = state != request_reader::state::idle;
+    if (receives && entry.doing != activity::receiving) {
+      entry.began_at = entry.last_progress;
+    }
+    entry.doing = receives ? activity::receiving : activity::idle;
+    entry.has_head = state == request_reader::state::reading_body;
+  }
+  ledger.set_buffered(conn.id, bytes);
+}
+
+int server::impl::on_received(lws* native, connection& conn,
+                              std::string_view bytes) {
+  if (conn.discarding || conn.close_after_response) {
+    return discard(conn, bytes.size());
+  }
+  ledger.at(conn.id).last_progress = clock::now();
+  if (conn.current != nullptr) {
+    conn.pending.append(bytes);
+    if (conn.pending.size() > options.limits.max_head_bytes) {
+      conn.reading_paused = true;
+      lws_rx_flow_control(native, 0);
+    }
+    update_ledger(conn);
+  } else {
+    feed(native, conn, bytes);
   }
+  enforce_memory_limit();
   return 0;
 }
 
-void server::impl::dispatch(const std::shared_ptr<exchange>& current) {
-  current->dispatched = true;
-  on_request(std::move(current->message), current);
+int server::impl::discard(connection& conn, std::size_t bytes) {
+  conn.discarded_bytes += bytes;
+  return conn.discarded_bytes > max_discarded_bytes ? -1 : 0;
 }
 
-int server::impl::write_response(lws* connection) {
-  auto found = exchanges.find(connection);
-  if (found == exchanges.end()) {
-    return 0;
+void server::impl::feed(lws* native, connection& conn, std::string_view bytes) {
+  conn.reader.set_max_body_bytes(options.max_request_bytes);
+  auto used = conn.reader.feed(bytes);
+  if (conn.reader.take_expectation()) {
+    conn.continue_due = true;
+    lws_callback_on_writable(native);
   }
-  if (found->second->aborted()) {
-    return -1;
+  if (conn.reader.current_state() == request_reader::state::complete) {
+    conn.pending.assign(bytes.substr(used));
   }
-  if (!found->second->answer()) {
-    return 0;
+  on_parsed(native, conn);
+}
+
+void server::impl::on_parsed(lws* native, connection& conn) {
+  update_ledger(conn);
+  switch (conn.reader.current_state()) {
+    case request_reader::state::failed:
+      refuse(native, conn, conn.reader.failure_status());
+      return;
+    case request_reader::state::complete:
+      dispatch(native, conn);
+      return;
+    default:
+      return;
   }
-  auto current = found->second;
-  if (!current->headers_written) {
-    return write_headers(connection, *current);
+}
+
+void server::impl::dispatch(lws* native, connection& conn) {
+  auto bytes = conn.reader.buffered_bytes();
+  auto answering = ledger.answering_bytes();
+  // Half of the memory is left for requests that arrive. One request is always
+  // served.
+  if (answering > 0 &&
+      answering + bytes > options.limits.max_buffered_bytes / 2) {
+    report_limit("memory_of_answering");
+    refuse(native, conn, 503);
+    return;
   }
-  if (current->body_bytes_written == current->answer()->body.size()) {
-    return finish_when_flushed(connection);
+  conn.close_after_response = !conn.reader.keep_alive();
+  conn.current = std::make_shared<exchange>(native);
+  conn.request_bytes = bytes;
+  auto message = conn.reader.take_request();
+  update_ledger(conn);
+  auto current = conn.current;
+  on_request(std::move(message), current);
+}
+
+/// Answers a request without running it, and closes the connection.
+void server::impl::refuse(lws* native, connection& conn, int status) {
+  conn.reader.reset();
+  conn.pending = {};
+  conn.close_after_response = true;
+  conn.current = std::make_shared<exchange>(native);
+  conn.request_bytes = 0;
+  update_ledger(conn);
+  response answer{status, {}, ""};
+  if (status == 503) {
+    answer.headers.push_back({"retry-after", std::string(retry_after_s)});
+  }
+  conn.current->respond(std::move(answer));
+}
+
+/// Closes connections while all requests together take too much memory.
+void server::impl::enforce_memory_limit() {
+  while (ledger.buffered_bytes() > options.limits.max_buffered_bytes) {
+    auto victim = ledger.pick_for_memory(clock::now());
+    if (!victim) {
+      return;
+    }
+    report_limit("memory_of_receiving");
+    auto* native = native_of(*victim);
+    refuse(native, *connections.at(native), 503);
   }
-  return write_body(connection, *current);
 }
 
-int server::impl::write_headers(lws* connection, exchange& current) {
-  const auto& answer = *current.answer();
-  std::vector<unsigned char> buffer(LWS_PRE + header_buffer_bytes);
-  auto* start = buffer.data() + LWS_PRE;
-  auto* position = start;
-  auto* end = buffer.data() + buffer.size() - 1;
-  if (lws_add_http_header_status(connection,
-                                 static_cast<unsigned>(answer.status),
-                                 &position, end) != 0 ||
-      lws_add_http_header_content_length(connection, answer.body.size(),
-                                         &position, end) != 0) {
-    return -1;
+/// Enforces the time limits.
+void server::impl::sweep() {
+  sweep_scheduled = false;
+  if (destroyed) {
+    return;
   }
-  for (const auto& item : answer.headers) {
-    std::string name = item.name + ":";
-    if (lws_add_http_header_by_name(
-            connection, reinterpret_cast<const unsigned char*>(name.c_str()),
-            reinterpret_cast<const unsigned char*>(item.value.data()),
-            static_cast<int>(item.value.size()), &position, end) != 0) {
-      return -1;
+  auto now = clock::now();
+  std::vector<connection_ledger::connection_id> overdue;
+  for (const auto& [id, entry] : ledger.entries()) {
+    if (ledger.is_overdue(entry, now, options.limits.head_timeout,
+                          options.limits.idle_timeout)) {
+      overdue.push_back(id);
     }
   }
-  if (closing || current.close_after_response) {
-    constexpr std::string_view close = "close";
-    if (lws_add_http_header_by_token(
-            connection, WSI_TOKEN_CONNECTION,
-            reinterpret_cast<const unsigned char*>(close.data()),
-            static_cast<int>(close.size()), &position, end) != 0) {
-      return -1;
+  for (auto id : overdue) {
+    auto* native = native_of(id);
+    auto& conn = *connections.at(native);
+    if (!conn.discarding && ledger.at(id).doing == activity::receiving) {
+      report_limit("time_of_receiving");
+      refuse(native, conn, 408);
+    } else {
+      on_closed(native);
+      close_later(native);
     }
   }
-  if (lws_finalize_write_http_header(connection, start, &position, end) != 0) {
-    return -1;
-  }
-  current.headers_written = true;
-  if (answer.body.empty()) {
-    return finish_when_flushed(connection);
+  if (!connections.empty()) {
+    sweep_scheduled = true;
+    loop->call_after(sweep_interval, [this] { sweep(); });
   }
-  lws_callback_on_writable(connection);
-  return 0;
 }
 
-int server::impl::write_body(lws* connection, exchange& current) {
-  const auto& body = current.answer()->body;
-  auto chunk =
-      std::min(write_chunk_bytes, body.size() - current.body_bytes_written);
-  std::vector<unsigned char> buffer(LWS_PRE + chunk);
-  std::copy_n(body.data() + current.body_bytes_written, chunk,
-              buffer.data() + LWS_PRE);
-  bool last = current.body_bytes_written + chunk == body.size();
-  int written = lws_write(connection, buffer.data() + LWS_PRE, chunk,
-                          last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP);
-  if (written < static_cast<int>(chunk)) {
-    return -1;
+int server::impl::write(lws* native, connection& conn) {
+  if (lws_partial_buffered(native) != 0) {
+    lws_callback_on_writable(native);
+    return 0;
   }
-  current.body_bytes_written += chunk;
-  if (last) {
-    return finish_when_flushed(connection);
+  if (std::exchange(conn.continue_due, false) && conn.current == nullptr) {
+    constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::vector<unsigned char> buffer(LWS_PRE + text.size());
+    std::copy(text.begin(), text.end(), buffer.begin() + LWS_PRE);
+    return lws_write(native, buffer.data() + LWS_PRE, text.size(),
+                     LWS_WRITE_RAW) < 0
+               ? -1
+               : 0;
   }
-  lws_callback_on_writable(connection);
-  return 0;
-}
-
-int server::impl::finish_when_flushed(lws* connection) {
-  // The library buffers bytes that the kernel did not accept; they are lost if
-  // the process exits.
-  if (lws_partial_buffered(connection) != 0) {
-    lws_callback_on_writable(connection);
+  if (conn.current == nullptr) {
     return 0;
   }
-  return finish(connection);
+  if (conn.current->aborted()) {
+    return -1;
+  }
+  return conn.current->answer() ? write_response(native, conn) : 0;
 }
 
-int server::impl::finish(lws* connection) {
-  auto found = exchanges.find(connection);
-  bool close = closing || found->second->close_after_response;
-  found->second->mark_finished();
-  exchanges.erase(found);
-  if (close || lws_http_transaction_completed(connection) != 0) {
+/// Writes the next part of the response. The library buffers bytes that the
+/// kernel did not accept; they are lost if the process exits, so the response
+/// counts as sent only when they are gone.
+int server::impl::write_response(lws* native, connection& conn) {
+  const auto& answer = *conn.current->answer();
+  if (!conn.head_made) {
+    conn.head_made = true;
+    conn.close_after_response = conn.close_after_response || closing;
+    conn.head = serialize_head(answer, conn.close_after_response);
+  }
+  bool is_written = conn.head_written == conn.head.size() &&
+                    conn.body_written == answer.body.size();
+  if (is_written) {
+    return finish(native, conn);
+  }
+  std::vector<unsigned char> buffer(LWS_PRE);
+  auto take = [&buffer](const std::string& text, std::size_t& position) {
+    auto room = write_chunk_bytes + LWS_PRE - buffer.size();
+    auto count = std::min(room, text.size() - position);
+    auto first = text.begin() + static_cast<std::ptrdiff_t>(position);
+    buffer.insert(buffer.end(), first,
+                  first + static_cast<std::ptrdiff_t>(count));
+    position += count;
+  };
+  take(conn.head, conn.head_written);
+  take(answer.body, conn.body_written);
+  ledger.at(conn.id).last_progress = clock::now();
+  auto count = buffer.size() - LWS_PRE;
+  int written =
+      lws_write(native, buffer.data() + LWS_PRE, count, LWS_WRITE_RAW);
+  if (written < static_cast<int>(count)) {
     return -1;
   }
+  bool is_last = conn.head_written == conn.head.size() &&
+                 conn.body_written == answer.body.size();
+  if (is_last && lws_partial_buffered(native) == 0) {
+    return finish(native, conn);
+  }
+  lws_callback_on_writable(native);
   return 0;
 }
 
-void server::impl::on_closed(lws* connection) {
-  auto found = exchanges.find(connection);
-  if (found == exchanges.end()) {
-    return;
+/// Ends the exchange and goes on with what has arrived meanwhile.
+int server::impl::finish(lws* native, connection& conn) {
+  bool was_refused = conn.request_bytes == 0;
+  conn.current->mark_finished();
+  conn.current.reset();
+  conn.request_bytes = 0;
+  conn.head = {};
+  conn.head_written = 0;
+  conn.head_made = false;
+  conn.body_written = 0;
+  auto& entry = ledger.at(conn.id);
+  ++entry.answered;
+  entry.last_progress = clock::now();
+  if (conn.close_after_response || closing) {
+    bool has_room = ledger.size() < options.limits.max_connections / 2;
+    if (!was_refused || !has_room) {
+      return -1;
+    }
+    conn.discarding = true;
+    conn.pending = {};
+    update_ledger(conn);
+    // Idle connections are closed by the sweep; this one sooner.
+    entry.last_progress =
+        clock::now() - options.limits.idle_timeout + max_discard_time;
+    shutdown(lws_get_socket_fd(native), SHUT_WR);
+    return 0;
+  }
+  auto bytes = std::exchange(conn.pending, {});
+  if (std::exchange(conn.reading_paused, false)) {
+    lws_rx_flow_control(native, 1);
   }
-  auto current = std::move(found->second);
-  exchanges.erase(found);
-  current->on_connection_closed();
+  update_ledger(conn);
+  if (!bytes.empty()) {
+    feed(native, conn, bytes);
+    enforce_memory_limit();
+  }
+  return 0;
 }
 
 absl::StatusOr<std::unique_ptr<server>> server::listen(
@@ -368,8 +536,8 @@
   loop.retain(state);
   state->loop = &loop;
   state->on_request = std::move(on_request);
-  state->max_request_bytes = options.max_request_bytes;
-  state->protocols[0].name = "http";
+  state->options = options;
+  state->protocols[0].name = protocol_name;
   state->protocols[0].callback = &impl::on_event;
 
   lws_context_creation_info info{};
@@ -378,10 +546,13 @@
   info.protocols = state->protocols.data();
   info.vhost_name = "server";
   info.user = state.get();
-  info.keepalive_timeout = static_cast<int>(idle_timeout_s);
-  info.timeout_secs = idle_timeout_s;
+  // The library's own HTTP server calls back without end when a request follows
+  // before the answer to the one before, so requests are parsed here.
+  info.listen_accept_role = "raw-skt";
+  info.listen_accept_protocol = protocol_name;
   info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND |
-                 LWS_SERVER_OPTION_DISABLE_IPV6;
+                 LWS_SERVER_OPTION_DISABLE_IPV6 |
+                 LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
   state->vhost = lws_create_vhost(loop.native(), &info);
   auto peer = options.address + ":" + std::to_string(options.port);
   if (state->vhost == nullptr) {
@@ -400,9 +571,14 @@
 server::server(std::shared_ptr<impl> state) : impl_(std::move(state)) {}
 
 server::~server() {
-  for (auto& [connection, current] : std::exchange(impl_->exchanges, {})) {
-    current->mark_finished();
+  impl_->destroyed = true;
+  for (auto& [native, conn] : impl_->connections) {
+    if (conn->current != nullptr) {
+      conn->current->mark_finished();
+    }
   }
+  impl_->connections.clear();
+  impl_->natives.clear();
   impl_->on_request = [](request, const std::shared_ptr<responder>& responder) {
     responder->respond({503, {}, ""});
   };
@@ -415,7 +591,19 @@
 }
 
 std::size_t server::open_requests() const {
-  return impl_->exchanges.size();
+  auto now = clock::now();
+  return static_cast<std::size_t>(
+      std::ranges::count_if(impl_->ledger.entries(), [now](const auto& each) {
+        const auto& entry = each.second;
+        bool arrives =
+            entry.doing == activity::receiving &&
+            now - entry.last_progress <= connection_ledger::stall_time;
+        return entry.doing == activity::answering || arrives;
+      }));
+}
+
+void server::set_max_request_bytes(std::size_t bytes) {
+  impl_->options.max_request_bytes = bytes;
 }
 
 void server::disable_keep_alive() {
--- a/packages/http/test/channel_test.cc
+++ b/packages/http/test/channel_test.cc
@@ -86,6 +86,50 @@
   REQUIRE(calls.connections_opened() == 2);
 }
 
+// Guards against one timeout for each open connection: what made one silent,
+// such as a restart of a device on the path, made the others silent too. Calls
+// failed for 7 s, and leases ran out.
+TEST_CASE("a call that times out closes the other silent connections") {
+  fixture f;
+  f.hold_responses = true;
+  channel calls(f.shared_transport, "127.0.0.1", f.peer->port(), {4});
+  for (int n = 0; n < 4; ++n) {
+    calls.send({"GET", "/x"}, 5s, f.collect(4));
+  }
+  f.loop.call_after(50ms, [&] {
+    for (auto& held : std::exchange(f.held_responders, {})) {
+      held->respond({});
+    }
+  });
+  f.loop.run();
+  REQUIRE(calls.connections_opened() == 4);
+  calls.send({"GET", "/slow"}, 50ms, f.collect(5));
+  f.loop.run();
+  REQUIRE(std::holds_alternative<client_failure>(f.results[4]));
+  f.hold_responses = false;
+  calls.send({"GET", "/next"}, 5s, f.collect(6));
+  f.loop.run();
+  REQUIRE(std::holds_alternative<response>(f.results[5]));
+  REQUIRE(calls.connections_opened() == 5);
+}
+
+// A slow answer to one call says nothing about a connection that answers.
+TEST_CASE("a connection that has answered since stays open") {
+  fixture f;
+  f.hold_responses = true;
+  channel calls(f.shared_transport, "127.0.0.1", f.peer->port(), {2});
+  calls.send({"GET", "/slow"}, 200ms, f.collect(2));
+  calls.send({"GET", "/x"}, 5s, f.collect(2));
+  f.loop.call_after(50ms, [&] { f.held_responders.back()->respond({}); });
+  f.loop.run();
+  REQUIRE(f.results.size() == 2);
+  f.hold_responses = false;
+  calls.send({"GET", "/next"}, 5s, f.collect(3));
+  f.loop.run();
+  REQUIRE(std::holds_alternative<response>(f.results[2]));
+  REQUIRE(calls.connections_opened() == 2);
+}
+
 // Guards against a call that is written after its sender's permission has
 // expired: it may wait for a connection, or for this process to run again.
 TEST_CASE("a call without permission at the time of writing is not sent") {
--- a/packages/http/test/server_test.cc
+++ b/packages/http/test/server_test.cc
@@ -5,7 +5,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
 #include <thread>
 
@@ -38,6 +41,43 @@
   }
 };
 
+/// A client connection for bytes of any kind.
+class raw_connection {
+ public:
+  explicit raw_connection(std::uint16_t port)
+      : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address)) == 0);
+  }
+  ~raw_connection() { close(socket_); }
+  raw_connection(const raw_connection&) = delete;
+  raw_connection& operator=(const raw_connection&) = delete;
+
+  void send(const std::string& text) const {
+    REQUIRE(::send(socket_, text.data(), text.size(),
+                   MSG_NOSIGNAL | MSG_DONTWAIT) ==
+            static_cast<ssize_t>(text.size()));
+  }
+
+  /// @return what has arrived and what arrives until the server closes.
+  std::string read_all() const {
+    std::string all;
+    std::array<char, 4096> buffer{};
+    for (ssize_t count = 0; (count = recv(socket_, buffer.data(), buffer.size(),
+                                          MSG_DONTWAIT)) > 0;) {
+      all.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    return all;
+  }
+
+ private:
+  int socket_;
+};
+
 /// A client connection that reads nothing until `read_body` is called.
 class unread_connection {
  public:
@@ -277,6 +317,100 @@
   CHECK_FALSE(called);
 }
 
+// Guards against a server that hangs, or mixes up answers, when a caller does
+// not wait for them.
+TEST_CASE("requests sent without waiting are answered one after the other") {
+  fixture f;
+  int open = 0;
+  int most_open = 0;
+  auto server = server::listen(
+      f.loop, {},
+      [&](const request& message, const std::shared_ptr<responder>& answer) {
+        most_open = std::max(most_open, ++open);
+        f.loop.call_after(5ms, [&, answer, target = message.target] {
+          --open;
+          answer->respond({200, {}, target});
+        });
+      });
+  REQUIRE(server.ok());
+  raw_connection caller((*server)->port());
+  caller.send(
+      "POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nxx"
+      "GET /2 HTTP/1.1\r\nhost: a\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+  f.loop.call_after(300ms, [&] { f.loop.stop(); });
+  f.loop.run();
+  auto text = caller.read_all();
+  auto first = text.find("/1");
+  auto second = text.find("/2");
+  auto third = text.find("/3");
+  REQUIRE(third != std::string::npos);
+  CHECK(first < second);
+  CHECK(second < third);
+  CHECK(most_open == 1);
+}
+
+// Guards against bodies that are held until their end, whatever they add up to.
+TEST_CASE("bodies that don't end give way to others") {
+  fixture f;
+  server_options options;
+  options.limits.max_buffered_bytes = 100'000;
+  int limited = 0;
+  options.on_limit = [&](std::string_view) { ++limited; };
+  auto server = server::listen(
+      f.loop, options,
+      [](const request& message, const std::shared_ptr<responder>& answer) {
+        answer->respond({200, {}, std::to_string(message.body.size())});
+      });
+  REQUIRE(server.ok());
+  std::vector<std::unique_ptr<raw_connection>> crowd;
+  for (int n = 0; n < 20; ++n) {
+    crowd.push_back(std::make_unique<raw_connection>((*server)->port()));
+    crowd.back()->send("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: " +
+                       std::to_string(30'001) + "\r\n\r\n" +
+                       std::string(30'000, 'x'));
+  }
+  f.loop.call_after(100ms, [&] { f.loop.stop(); });
+  f.loop.run();
+  REQUIRE(limited >= 16);
+  f.send_and_wait((*server)->port(), post("/", std::string(20'000, 'y')));
+  auto* answer = std::get_if<response>(&f.results.at(0));
+  REQUIRE(answer != nullptr);
+  CHECK(answer->body == "20000");
+}
+
+// Guards against idle connections that keep new callers out.
+TEST_CASE("an idle connection gives way to a new one") {
+  fixture f;
+  server_options options;
+  options.limits.max_connections = 4;
+  auto server = server::listen(
+      f.loop, options, [](auto, const auto& answer) { answer->respond({}); });
+  REQUIRE(server.ok());
+  std::vector<std::unique_ptr<raw_connection>> crowd;
+  for (int n = 0; n < 12; ++n) {
+    crowd.push_back(std::make_unique<raw_connection>((*server)->port()));
+  }
+  f.send_and_wait((*server)->port(), post("/", "x"));
+  auto* answer = std::get_if<response>(&f.results.at(0));
+  REQUIRE(answer != nullptr);
+  CHECK(answer->status == 200);
+}
+
+TEST_CASE("headers that don't end are refused in time") {
+  fixture f;
+  server_options options;
+  options.limits.head_timeout = 50ms;
+  auto server = server::listen(f.loop, options, [](auto, auto) {});
+  REQUIRE(server.ok());
+  raw_connection caller((*server)->port());
+  caller.send("GET / HTTP/1.1\r\nhost:");
+  f.loop.call_after(1200ms, [&] { f.loop.stop(); });
+  f.loop.run();
+  server->reset();
+  CHECK(caller.read_all().starts_with("HTTP/1.1 408 "));
+}
+
 // Guards against requests that are lost or repeated under concurrency.
 TEST_CASE("each of many concurrent requests is handled once") {
   fixture f;
--- a/tests/harness/include/harness/platform_cluster.h
+++ b/tests/harness/include/harness/platform_cluster.h
@@ -20,6 +20,8 @@
   std::size_t domains = 3;
   std::size_t labels = 1;
   std::int64_t worker_cpu_millis = 4000;
+  /// Further lines of the section `[limits]` of the daemons' settings.
+  std::string extra_limits = {};
 };
 
 /// Daemons that run `vanillaladderd schedule` on a stand-in of the platform.
@@ -32,6 +34,9 @@
 
   std::size_t daemon_count() const { return daemons_.size(); }
   child& process(std::size_t daemon) { return *daemons_.at(daemon)->process; }
+  std::uint16_t caller_port(std::size_t daemon) const {
+    return daemons_.at(daemon)->caller_port;
+  }
   /// Starts a daemon again after its process has ended.
   void restart(std::size_t daemon);
   bool ready(std::size_t daemon);
@@ -83,6 +88,7 @@
   void launch(running_daemon& target);
   void control(const std::string& path, const json& body);
 
+  platform_options options_;
   std::filesystem::path folder_;
   caller http_;
   std::unique_ptr<standin> platform_;
--- a/tests/harness/src/platform_cluster.cc
+++ b/tests/harness/src/platform_cluster.cc
@@ -53,20 +53,20 @@
 }  // namespace
 
 platform_cluster::platform_cluster(platform_options options)
-    : folder_(make_folder()) {
+    : options_(std::move(options)), folder_(make_folder()) {
   auto option = [](const char* name, auto value) {
     return std::string("--") + name + "=" + std::to_string(value);
   };
   platform_ = std::make_unique<standin>(
       http_, "standin_platform",
-      std::vector{option("workers", options.workers),
-                  option("domains", options.domains),
-                  option("labels", options.labels),
-                  option("cpu", options.worker_cpu_millis)},
-      folder_, options.workers + 1);
+      std::vector{option("workers", options_.workers),
+                  option("domains", options_.domains),
+                  option("labels", options_.labels),
+                  option("cpu", options_.worker_cpu_millis)},
+      folder_, options_.workers + 1);
   put("operator", platform::configuration_key,
       platform::configuration(1).dump());
-  for (std::size_t n = 0; n < options.daemons; ++n) {
+  for (std::size_t n = 0; n < options_.daemons; ++n) {
     auto target = std::make_unique<running_daemon>();
     target->id = "entry-" + std::to_string(n + 1);
     launch(*target);
@@ -97,7 +97,8 @@
         << "metrics = " << endpoint(free_port())
         << "[store]\naddress = " << endpoint(platform_->ports().front())
         << "[workers]\nlongest_lease_ms = 6000\nrun_stop_ms = 50\n"
-        << "[limits]\nstop_ms = 3000\nprocessor_share = 0.5\n";
+        << "[limits]\nstop_ms = 3000\nprocessor_share = 0.5\n"
+        << options_.extra_limits;
     target.process = std::make_unique<child>(
         "vanillaladderd",
         std::vector<std::string>{"schedule", "--settings", settings.string()},
