--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -169,7 +169,8 @@
   }
   // The process that reports may be of another kind than the one that the entry
   // describes, until its own entry is read. A later entry may name any process.
-  if (worker.entry.incarnation != worker.incarnation &&
+  if (worker.entry.incarnation != 0 &&
+      worker.entry.incarnation != worker.incarnation &&
       worker.entry_changed_at < worker.incarnation_seen_at) {
     return obstacle::entry_outdated;
   }
--- a/packages/dispatch/src/settings.cc
+++ b/packages/dispatch/src/settings.cc
@@ -88,9 +88,9 @@
 value_reader size_reader(std::size_t& target, std::size_t min,
                          std::size_t max) {
   return [&target, min, max](const toml::node& node) -> std::string {
-    auto value = node.value_exact<std::int64_t>().value_or(-1);
-    if (value < 0 || static_cast<std::size_t>(value) < min ||
-        static_cast<std::size_t>(value) > max) {
+    auto value = node.value<double>().value_or(-1);
+    if (!(value >= static_cast<double>(min) &&
+          value <= static_cast<double>(max))) {
       return absl::StrCat("a number from ", min, " to ", max);
     }
     target = static_cast<std::size_t>(value);
--- a/packages/http/include/http/detail/connection_ledger.h
+++ b/packages/http/include/http/detail/connection_ledger.h
@@ -48,13 +48,13 @@
   connection_id add(time_point now);
   void remove(connection_id id);
   entry& at(connection_id id) { return entries_.at(id); }
-  /// Updates the memory that a connection takes.
-  void set_buffered(connection_id id, std::size_t bytes);
+  /// Updates what a connection does and the memory that it takes.
+  void update(connection_id id, activity doing, std::size_t bytes);
 
   std::size_t size() const { return entries_.size(); }
   std::size_t buffered_bytes() const { return buffered_bytes_; }
   /// @return memory of the requests that are being answered.
-  std::size_t answering_bytes() const;
+  std::size_t answering_bytes() const { return answering_bytes_; }
 
   /// @return the connection to close for its memory: of those that are
   ///   receiving, the one without progress for longest if it is stalled, or
@@ -74,6 +74,7 @@
  private:
   std::map<connection_id, entry> entries_;
   std::size_t buffered_bytes_ = 0;
+  std::size_t answering_bytes_ = 0;
   connection_id last_id_ = 0;
 };
 
--- a/packages/http/src/connection_ledger.cc
+++ b/packages/http/src/connection_ledger.cc
@@ -12,22 +12,22 @@
 }
 
 void connection_ledger::remove(connection_id id) {
-  set_buffered(id, 0);
+  update(id, activity::idle, 0);
   entries_.erase(id);
 }
 
-void connection_ledger::set_buffered(connection_id id, std::size_t bytes) {
+void connection_ledger::update(connection_id id, activity doing,
+                               std::size_t bytes) {
   auto& each = entries_.at(id);
   buffered_bytes_ = buffered_bytes_ - each.buffered_bytes + bytes;
-  each.buffered_bytes = bytes;
-}
-
-std::size_t connection_ledger::answering_bytes() const {
-  std::size_t bytes = 0;
-  for (const auto& [id, each] : entries_) {
-    bytes += each.doing == activity::answering ? each.buffered_bytes : 0;
+  if (each.doing == activity::answering) {
+    answering_bytes_ -= each.buffered_bytes;
+  }
+  if (doing == activity::answering) {
+    answering_bytes_ += bytes;
   }
-  return bytes;
+  each.doing = doing;
+  each.buffered_bytes = bytes;
 }
 
 std::optional<connection_ledger::connection_id>
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -281,18 +281,17 @@
   auto& entry = ledger.at(conn.id);
   auto bytes = conn.reader.buffered_bytes() + conn.pending.capacity();
   if (conn.current != nullptr) {
-    entry.doing = activity::answering;
-    bytes += conn.request_bytes;
-  } else {
-    auto state = conn.reader.current_state();
-    bool receives = state != request_reader::state::idle;
-    if (receives && entry.doing != activity::receiving) {
-      entry.began_at = entry.last_progress;
-    }
-    entry.doing = receives ? activity::receiving : activity::idle;
-    entry.has_head = state == request_reader::state::reading_body;
+    ledger.update(conn.id, activity::answering, bytes + conn.request_bytes);
+    return;
+  }
+  auto state = conn.reader.current_state();
+  bool receives = state != request_reader::state::idle;
+  if (receives && entry.doing != activity::receiving) {
+    entry.began_at = entry.last_progress;
   }
-  ledger.set_buffered(conn.id, bytes);
+  entry.has_head = state == request_reader::state::reading_body;
+  ledger.update(conn.id, receives ? activity::receiving : activity::idle,
+                bytes);
 }
 
 int server::impl::on_received(lws* native, connection& conn,
--- a/packages/http/test/connection_ledger_test.cc
+++ b/packages/http/test/connection_ledger_test.cc
@@ -19,10 +19,9 @@
       std::uint64_t answered = 0) {
     auto id = ledger.add(start);
     auto& entry = ledger.at(id);
-    entry.doing = doing;
     entry.last_progress = progress;
     entry.answered = answered;
-    ledger.set_buffered(id, bytes);
+    ledger.update(id, doing, bytes);
     return id;
   }
 };
@@ -33,7 +32,7 @@
   fixture f;
   auto first = f.add(activity::receiving, 100);
   f.add(activity::answering, 50);
-  f.ledger.set_buffered(first, 300);
+  f.ledger.update(first, activity::receiving, 300);
   REQUIRE(f.ledger.buffered_bytes() == 350);
   REQUIRE(f.ledger.answering_bytes() == 50);
   f.ledger.remove(first);
