--- a/packages/batch/test/job_records_test.cc
+++ b/packages/batch/test/job_records_test.cc
@@ -55,8 +55,8 @@
   step_key step{"5c0e7a21d94b36f8", 2, 1};
   REQUIRE(parse_step_key(to_string(step)) == step);
   for (int part : {0, 1, 390}) {
-    progress_key key{step, part};
-    REQUIRE(parse_progress_key(to_string(key)) == key);
+    progress_key progress{step, part};
+    REQUIRE(parse_progress_key(to_string(progress)) == progress);
   }
   REQUIRE(to_string(progress_key{step, 0}) == to_string(step));
   for (const char* text : {"a/0/0/0", "a/0/0/-1", "a/0/0/x", "a/0/0/1/1"}) {
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -66,7 +66,9 @@
     }
   };
   loop_->call_after(max_refresh_time, [finish] { finish(false); });
-  operators_->refresh(finish, max_refresh_time);
+  // Longer than the callers wait: a slow store would answer after them, and a
+  // call that times out costs connections.
+  operators_->refresh(finish);
 }
 
 bool job_service::ready() const {
