--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -259,8 +259,9 @@
   void move_throttled(step_state& step, int index, run_state& run,
                       time_point now);
   void observe_clock(worker_state& worker, const worker_report& report);
-  bool is_replaced(const worker_state& worker) const;
-  void end_runs_of_replaced_workers(time_point now);
+  static bool replaces(const worker_state& successor,
+                       const worker_state& worker);
+  void end_runs_of_replaced(worker_state& worker, time_point now);
   void drain_worker(worker_state& worker, time_point now);
 
   // Placement.
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -101,29 +101,25 @@
   has_changes_ = true;
 }
 
-/// @return whether another worker has started later at the worker's address and
-///   has answered there under its own id. An entry alone proves nothing:
+/// @return whether `successor` has started later than `worker` at its address
+///   and has answered there under its own id. An entry alone proves nothing:
 ///   another writer may name any address.
-bool scheduler::is_replaced(const worker_state& worker) const {
+bool scheduler::replaces(const worker_state& successor,
+                         const worker_state& worker) {
   const auto& info = worker.entry.info;
-  auto incarnation = std::max(worker.incarnation, worker.entry.incarnation);
-  return std::ranges::any_of(workers_, [&](const auto& each) {
-    const auto& other = *each.second;
-    return &other != &worker && other.reachable &&
-           other.entry.info.address == info.address &&
-           other.entry.info.port == info.port &&
-           other.incarnation > incarnation &&
-           other.reported_at >= worker.reported_at;
-  });
+  const auto& other = successor.entry.info;
+  return successor.reachable && !worker.reachable && other.port == info.port &&
+         other.address == info.address &&
+         successor.incarnation >
+             std::max(worker.incarnation, worker.entry.incarnation) &&
+         successor.reported_at >= worker.reported_at;
 }
 
-/// Ends the runs of workers whose address belongs to a later worker.
-void scheduler::end_runs_of_replaced_workers(time_point now) {
-  for (auto& [id, worker] : workers_) {
-    if (!worker->reachable && !worker->runs.empty() && is_replaced(*worker)) {
-      auto lost = worker->runs;
-      end_lost_runs(*worker, lost, "address_reused", now);
-    }
+/// Ends the runs of a worker whose address belongs to a later one.
+void scheduler::end_runs_of_replaced(worker_state& worker, time_point now) {
+  if (!worker.runs.empty()) {
+    auto lost = worker.runs;
+    end_lost_runs(worker, lost, "address_reused", now);
   }
 }
 
@@ -180,7 +176,12 @@
                          " runs=", worker->runs.size(),
                          " lease_left_ms=", remaining.count()));
   worker->reachable = false;
-  end_runs_of_replaced_workers(now);
+  bool is_replaced = std::ranges::any_of(workers_, [&](const auto& each) {
+    return replaces(*each.second, *worker);
+  });
+  if (is_replaced) {
+    end_runs_of_replaced(*worker, now);
+  }
 }
 
 std::vector<lost_worker> scheduler::lost_workers() const {
@@ -243,7 +244,11 @@
                            " running=", report.running.size(),
                            " ended=", report.ended.size()));
     worker->reachable = true;
-    end_runs_of_replaced_workers(report.received_at);
+    for (auto& [other_id, other] : workers_) {
+      if (replaces(*worker, *other)) {
+        end_runs_of_replaced(*other, report.received_at);
+      }
+    }
     has_changes_ = true;
   }
   for (const auto& end : report.ended) {
--- a/packages/batch/test/reservations_test.cc
+++ b/packages/batch/test/reservations_test.cc
@@ -97,6 +97,10 @@
 TEST_CASE("pattern: a large task starts although small ones keep coming") {
   auto wait_for_large = [](bool enabled) {
     look_ahead_fixture f(enabled);
+    // Most of the capacity is in use elsewhere.
+    f.add_worker("w0", {40'000, 100'000, 0});
+    f.add_job("other", {timed_step(1, 40'000, 60'000ms)});
+    f.plan_and_note();
     f.add_worker("w1", {4000, 100'000, 0});
     int number = 0;
     auto add_small = [&] {
--- a/packages/dispatch/include/dispatch/fleet_config.h
+++ b/packages/dispatch/include/dispatch/fleet_config.h
@@ -25,7 +25,7 @@
   std::string path_prefix;
   batch::queue_policy policy;
   /// Whether callers may use the queue without a key.
-  bool allows_anonymous = true;
+  bool allows_anonymous = false;
 
   bool operator==(const queue_route&) const = default;
 };
--- a/packages/http/include/http/detail/request_reader.h
+++ b/packages/http/include/http/detail/request_reader.h
@@ -49,6 +49,7 @@
   // Defined in the source file: http_parser.h conflicts with libwebsockets.h.
   struct parser;
 
+  void release_message();
   int fail(int status);
   int on_head_complete();
   void append_body(std::string_view bytes);
--- a/packages/http/src/request_reader.cc
+++ b/packages/http/src/request_reader.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <limits>
+#include <utility>
 
 namespace vanillaladder::http::detail {
 namespace {
@@ -17,6 +18,28 @@
   return lower;
 }
 
+/// Resolves "%XX" in place.
+/// @return false if the text would contain a control character.
+bool decode_escapes(std::string& text) {
+  std::string decoded;
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    char each = text[n];
+    bool is_escape = each == '%' && n + 2 < text.size() &&
+                     std::isxdigit(static_cast<unsigned char>(text[n + 1])) &&
+                     std::isxdigit(static_cast<unsigned char>(text[n + 2]));
+    if (is_escape) {
+      each = static_cast<char>(std::stoi(text.substr(n + 1, 2), nullptr, 16));
+      n += 2;
+    }
+    if (static_cast<unsigned char>(each) < 0x20 || each == 0x7f) {
+      return false;
+    }
+    decoded += each;
+  }
+  text = std::move(decoded);
+  return true;
+}
+
 bool requires_content_length(std::string_view method) {
   return method == "POST" || method == "PUT" || method == "PATCH";
 }
@@ -115,8 +138,7 @@
   parser_->native.data = this;
   state_ = state::idle;
   failure_status_ = 0;
-  message_ = {};
-  message_.target.clear();
+  release_message();
   header_name_.clear();
   header_value_.clear();
   reading_header_name_ = false;
@@ -126,10 +148,18 @@
   keep_alive_ = true;
 }
 
+/// Drops the message and its memory; assigning an empty one would keep that of
+/// its strings.
+void request_reader::release_message() {
+  request empty;
+  empty.target.clear();
+  std::swap(message_, empty);
+}
+
 int request_reader::fail(int status) {
   state_ = state::failed;
   failure_status_ = status;
-  message_ = {};
+  release_message();
   return -1;
 }
 
@@ -138,6 +168,9 @@
   if (!header_name_.empty()) {
     parser_->store_header(*this);
   }
+  if (!decode_escapes(message_.target)) {
+    return fail(400);
+  }
   message_.method = http_method_str(static_cast<http_method>(native.method));
   // A body follows even if the caller offers another protocol.
   native.upgrade = 0;
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -369,7 +369,7 @@
 /// Answers a request without running it, and closes the connection.
 void server::impl::refuse(lws* native, connection& conn, int status) {
   conn.reader.reset();
-  conn.pending = {};
+  std::string().swap(conn.pending);
   conn.close_after_response = true;
   conn.current = std::make_shared<exchange>(native);
   conn.request_bytes = 0;
@@ -509,7 +509,7 @@
       return -1;
     }
     conn.discarding = true;
-    conn.pending = {};
+    std::string().swap(conn.pending);
     update_ledger(conn);
     // Idle connections are closed by the sweep; this one sooner.
     entry.last_progress =
