--- a/packages/batch/test/reservations_test.cc
+++ b/packages/batch/test/reservations_test.cc
@@ -178,8 +178,9 @@
     f.add_worker("w1", {8000, 1'000'000, 0});
     int tasks = 0;
     for (int n = 0; n < 12; ++n) {
-      f.add_job("s" + std::to_string(n),
-                {timed_step(1, 1000 * draw(1, 2), 100ms * draw(2, 9))});
+      f.add_job(
+          "s" + std::to_string(n),
+          {timed_step(1, std::int64_t{1000} * draw(1, 2), 100ms * draw(2, 9))});
       ++tasks;
     }
     f.plan_and_note();
@@ -187,8 +188,9 @@
     ++tasks;
     f.play(100ms);
     for (int n = 0; n < 10; ++n) {
-      f.add_job("t" + std::to_string(n),
-                {timed_step(1, 1000 * draw(1, 2), 100ms * draw(1, 9))});
+      f.add_job(
+          "t" + std::to_string(n),
+          {timed_step(1, std::int64_t{1000} * draw(1, 2), 100ms * draw(1, 9))});
       ++tasks;
     }
     f.play(20s);
--- a/packages/batch/test/scheduler_storage_test.cc
+++ b/packages/batch/test/scheduler_storage_test.cc
@@ -62,6 +62,7 @@
   f.add_worker("w1", {5'000'000, 5'000'000, 0});
   f.add_job("a", {scheduler_fixture::step(300, 1000)});
   std::vector<task_record> tasks;
+  tasks.reserve(300);
   for (int n = 0; n < 300; ++n) {
     tasks.push_back({n, true, 1, 0, "", {}});
   }
