Reserve vectors that are filled in loops

Cause: the linter's check of inefficient vector operations, in two test files; four further loops of the same shape. Change: reserve before the loop.

--- a/packages/batch/src/organisation_shares.cc
+++ b/packages/batch/src/organisation_shares.cc
@@ -122,6 +122,7 @@
 
 std::vector<organisation_shares::report> organisation_shares::reports() const {
   std::vector<report> all;
+  all.reserve(organisations_.size());
   for (const auto& [name, each] : organisations_) {
     all.push_back({name, each.usage, each.policy.limit,
                    dominant_share(each.usage), each.fair_share});
--- a/packages/dispatch/src/lost_worker_list.cc
+++ b/packages/dispatch/src/lost_worker_list.cc
@@ -94,6 +94,7 @@
 
 std::vector<batch::lost_worker> lost_worker_list::workers() const {
   std::vector<batch::lost_worker> workers;
+  workers.reserve(stored_.size());
   for (const auto& [id, ends_at] : stored_) {
     workers.push_back({id, ends_at});
   }
--- a/packages/dispatch/test/lost_worker_list_test.cc
+++ b/packages/dispatch/test/lost_worker_list_test.cc
@@ -78,6 +78,7 @@
 TEST_CASE("a list has a bounded number of workers, those that end first") {
   lost_worker_list list("a");
   std::vector<batch::lost_worker> many;
+  many.reserve(600);
   for (int n = 0; n < 600; ++n) {
     many.push_back({"w" + std::to_string(n), start + 10s - n * 1ms});
   }
--- a/packages/dispatch/test/record_writer_test.cc
+++ b/packages/dispatch/test/record_writer_test.cc
@@ -76,6 +76,7 @@
     "records beyond the size of a call are appended in several, in order") {
   fixture f;
   std::vector<batch::topic_record> records;
+  records.reserve(40);
   for (int n = 0; n < 40; ++n) {
     records.push_back(record(n, 100));
   }
@@ -93,6 +94,7 @@
 TEST_CASE("a record that the store refuses is left out") {
   fixture f;
   std::vector<batch::topic_record> records;
+  records.reserve(20);
   for (int n = 0; n < 20; ++n) {
     records.push_back(record(n, n == 7 || n == 19 ? 500 : 50));
   }
--- a/packages/http/test/server_test.cc
+++ b/packages/http/test/server_test.cc
@@ -364,6 +364,7 @@
       });
   REQUIRE(server.ok());
   std::vector<std::unique_ptr<raw_connection>> crowd;
+  crowd.reserve(20);
   for (int n = 0; n < 20; ++n) {
     crowd.push_back(std::make_unique<raw_connection>((*server)->port()));
     crowd.back()->send("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: " +
@@ -388,6 +389,7 @@
       f.loop, options, [](auto, const auto& answer) { answer->respond({}); });
   REQUIRE(server.ok());
   std::vector<std::unique_ptr<raw_connection>> crowd;
+  crowd.reserve(12);
   for (int n = 0; n < 12; ++n) {
     crowd.push_back(std::make_unique<raw_connection>((*server)->port()));
   }
--- a/tests/crowd/crowd.cc
+++ b/tests/crowd/crowd.cc
@@ -35,6 +35,7 @@
 }  // namespace
 
 caller_crowd::caller_crowd(std::uint16_t port, std::size_t callers) {
+  members_.reserve(callers);
   for (std::size_t n = 0; n < callers; ++n) {
     members_.push_back({connect_to(port)});
     members_.back().done = members_.back().socket < 0;
