--- a/packages/batch/test/organisation_shares_test.cc
+++ b/packages/batch/test/organisation_shares_test.cc
@@ -186,7 +186,8 @@
 }
 
 // No organisation with waiting work stays below its share while another is
-// above its own, beyond one task; and none waits for ever.
+// above its own, beyond one task. Only jobs that have not begun count as
+// waiting.
 TEST_CASE("property: shares hold for any order of jobs and ends") {
   for (unsigned seed = 1; seed <= 30; ++seed) {
     std::mt19937 random(seed);
--- a/packages/batch/test/reservations_test.cc
+++ b/packages/batch/test/reservations_test.cc
@@ -166,9 +166,9 @@
   REQUIRE_FALSE(f.logged("held step="));
 }
 
-// With run times as estimated, a step for which room was held starts no later
-// than was expected then, whatever is backfilled; and every task runs.
-TEST_CASE("property: backfilling delays no reservation, and nobody starves") {
+// With run times as estimated every task runs in the end. That backfilling
+// delays no reservation is checked by "a large task starts" above only.
+TEST_CASE("property: nobody starves beside reservations") {
   for (unsigned seed = 1; seed <= 20; ++seed) {
     std::mt19937 random(seed);
     auto draw = [&](int low, int high) {
