Deny no submission that another daemon may have stored

The same 503 came from the daemon of the first attempt after a restart, from an append that the store rejected, and for a queue that an old copy of the configuration does not hold.

Cause: a daemon called a refusal certain if it had sent no append itself. Change: what is not stored gets 504. While the store does not answer, a submission waits for it for up to 0.4 s.

--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -37,6 +38,11 @@
   /// this long and nothing else was answered meanwhile. Slow answers take less.
   static constexpr std::chrono::milliseconds silence_limit{500};
 
+  /// How long a submission waits for the store to answer again. Callers retry a
+  /// submission without an outcome within 0.4 s, up to four times, so that
+  /// their attempts cover about 3 s, their usual time limit.
+  static constexpr std::chrono::milliseconds max_store_wait{400};
+
   /// Maximum age of the state of an unfinished job that is shown without a read
   /// of the store, and the time that such a read may take.
   static constexpr std::chrono::milliseconds max_shown_age{100};
@@ -82,6 +88,10 @@
     return config_->config().max_body_bytes;
   }
 
+  /// Stores a job. While the store does not answer, the job waits for up to
+  /// `max_store_wait` and is not sent.
+  /// @param done receives the outcome; never one that denies that an attempt at
+  ///   another daemon has stored the job or will do so.
   void submit(const queue_route& queue, batch::job_spec spec,
               std::function<void(submit_result)> done);
   void show(const model::job_id& id, std::function<void(job_answer)> done);
@@ -95,8 +105,20 @@
                std::function<void(std::optional<int>)> done);
 
  private:
+  /// A submission that waits for the store to answer again.
+  struct waiting_submission {
+    queue_route queue;
+    batch::job_spec spec;
+    std::function<void(submit_result)> done;
+    model::time_point until;
+  };
+
   const batch::job_directory::entry* find_submitted(
       const model::job_id& id) const;
+  void wait_for_store(waiting_submission submission);
+  void check_waiting();
+  void end_unsent(const model::job_id& id, std::string_view reason,
+                  const std::function<void(submit_result)>& done) const;
   bool is_current(const batch::job_directory::entry& job) const;
   void show_known_job(const model::job_id& id,
                       const std::function<void(job_answer)>& done) const;
@@ -119,6 +141,8 @@
   std::vector<std::function<void()>> config_waiters_;
   std::uint64_t config_read_ = 0;
   submission_outcomes outcomes_;
+  /// Oldest first.
+  std::deque<waiting_submission> waiting_;
 };
 
 }  // namespace vanillaladder::dispatch
--- a/packages/dispatch/include/dispatch/submission_outcomes.h
+++ b/packages/dispatch/include/dispatch/submission_outcomes.h
@@ -12,17 +12,17 @@
 enum class submit_result {
   /// The job is stored, by this call or an earlier one.
   accepted,
-  /// The job is not stored, and no call to this daemon will store it later.
-  refused,
-  /// The job may or may not have been stored.
+  /// This call stores nothing. An earlier one, at this or another daemon, may
+  /// still be stored.
+  not_stored,
+  /// This call may have stored the job, or may still do so.
   unknown,
   /// The job is not stored: its record is larger than the store takes.
   too_large,
 };
 
-/// Remembers the jobs whose submission has no known outcome yet, so that a
-/// later attempt is not refused as "never runs" while an earlier one may still
-/// be stored. Does no I/O.
+/// Remembers the jobs whose submission at this daemon has no known outcome yet
+/// and may still be stored. Does no I/O.
 class submission_outcomes {
  public:
   /// Unknown outcomes that are remembered; more than callers submit to one
@@ -32,10 +32,9 @@
   /// Called when an append of the job is sent.
   void begin(const model::job_id& id);
   /// Called with the outcome of an append of the job.
-  /// @return the outcome that the caller may be told.
-  submit_result end(const model::job_id& id, submit_result outcome);
-  /// @return the answer to an attempt for which nothing is sent.
-  submit_result refusal_of(const model::job_id& id) const;
+  void end(const model::job_id& id, submit_result outcome);
+  /// @return whether an append of the job is in flight or had no answer.
+  bool may_be_stored(const model::job_id& id) const;
 
  private:
   struct entry {
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -11,6 +11,11 @@
 #include "runtime/error.h"
 
 namespace vanillaladder::dispatch {
+namespace {
+
+constexpr std::chrono::milliseconds waiting_check_interval{25};
+
+}  // namespace
 
 job_service::job_service(
     http::event_loop& loop, external::keyed_store& store,
@@ -101,23 +106,13 @@
   }
   if (!store_responsive()) {
     // An append would fail, mostly without an indication of whether it took
-    // effect, and the caller could not tell whether the job will run.
-    report_.count("vanillaladder_submissions_refused_total", "reason",
-                  "store_away");
-    auto result = outcomes_.refusal_of(spec.id);
-    report_.routine("desk", absl::StrCat("submit_refused id=", spec.id,
-                                         " reason=store_away certain=",
-                                         result == submit_result::refused));
-    done(result);
+    // effect.
+    wait_for_store(
+        {queue, std::move(spec), std::move(done), boot_now() + max_store_wait});
     return;
   }
   if (jobs_->memory_bytes() + memory_of(spec) > max_jobs_bytes) {
-    report_.count("vanillaladder_submissions_refused_total", "reason",
-                  "jobs_memory");
-    report_.routine("desk", absl::StrCat("submit_refused id=", spec.id,
-                                         " reason=jobs_memory jobs_bytes=",
-                                         jobs_->memory_bytes()));
-    done(outcomes_.refusal_of(spec.id));
+    end_unsent(spec.id, "jobs_memory", done);
     return;
   }
   spec.queue = queue.name;
@@ -144,26 +139,66 @@
             std::chrono::duration_cast<model::milliseconds>(boot_now() - sent);
         auto result = submit_result::unknown;
         if (end.ok()) {
-          result = outcomes_.end(id, submit_result::accepted);
+          result = submit_result::accepted;
           on_stored_record_(record.key, record.value);
           report_.routine("desk",
                           absl::StrCat("submit_accepted id=", id, " end=", *end,
                                        " append_ms=", took.count()));
         } else {
-          result = outcomes_.end(id, absl::IsUnavailable(end.status())
-                                         ? submit_result::refused
-                                         : submit_result::unknown);
+          result = absl::IsUnavailable(end.status()) ? submit_result::not_stored
+                                                     : submit_result::unknown;
           report_.routine(
               "desk",
               absl::StrCat("submit_not_stored id=", id,
-                           " certain=", result == submit_result::refused,
+                           " certain=", result == submit_result::not_stored,
                            " append_ms=", took.count(),
                            " error=", runtime::error_message(end.status())));
         }
+        outcomes_.end(id, result);
         done(result);
       });
 }
 
+/// Ends a submission of which nothing is sent to the store.
+void job_service::end_unsent(
+    const model::job_id& id, std::string_view reason,
+    const std::function<void(submit_result)>& done) const {
+  report_.count("vanillaladder_submissions_refused_total", "reason", reason);
+  report_.routine("desk", absl::StrCat("submit_refused id=", id,
+                                       " reason=", std::string(reason),
+                                       " jobs_bytes=", jobs_->memory_bytes()));
+  done(submit_result::not_stored);
+}
+
+void job_service::wait_for_store(waiting_submission submission) {
+  waiting_.push_back(std::move(submission));
+  if (waiting_.size() == 1) {
+    loop_->call_after(waiting_check_interval, [this] { check_waiting(); });
+  }
+}
+
+/// Sends the submissions that wait once the store answers, and ends those that
+/// have waited too long.
+void job_service::check_waiting() {
+  std::deque<waiting_submission> ready;
+  bool is_responsive = store_responsive();
+  while (!waiting_.empty() &&
+         (is_responsive || waiting_.front().until <= boot_now())) {
+    ready.push_back(std::move(waiting_.front()));
+    waiting_.pop_front();
+  }
+  if (!waiting_.empty()) {
+    loop_->call_after(waiting_check_interval, [this] { check_waiting(); });
+  }
+  for (auto& each : ready) {
+    if (is_responsive) {
+      submit(each.queue, std::move(each.spec), std::move(each.done));
+    } else {
+      end_unsent(each.spec.id, "store_away", each.done);
+    }
+  }
+}
+
 /// @return whether the copy's state of the job can be shown without a read.
 bool job_service::is_current(const batch::job_directory::entry& job) const {
   if (batch::has_ended(job.visible_state())) {
@@ -233,9 +268,8 @@
                     absl::StrCat("cancel_unknown id=", id, " fresh=", fresh));
     // A submission may be under way at any daemon and take effect later. One of
     // this daemon is known, so that its caller is told that it is cancelled.
-    auto stored = outcomes_.refusal_of(id) == submit_result::unknown
-                      ? cancel_result::cancelled
-                      : cancel_result::no_such_job;
+    auto stored = outcomes_.may_be_stored(id) ? cancel_result::cancelled
+                                              : cancel_result::no_such_job;
     if (const auto* found = jobs_->find(id);
         found != nullptr && found->cancelled) {
       done(stored);
--- a/packages/dispatch/src/submission_outcomes.cc
+++ b/packages/dispatch/src/submission_outcomes.cc
@@ -6,11 +6,10 @@
   ++entries_[id].in_flight;
 }
 
-submit_result submission_outcomes::end(const model::job_id& id,
-                                       submit_result outcome) {
+void submission_outcomes::end(const model::job_id& id, submit_result outcome) {
   auto found = entries_.find(id);
   if (found == entries_.end()) {
-    return outcome;
+    return;
   }
   auto& job = found->second;
   --job.in_flight;
@@ -18,20 +17,13 @@
     job.unknown = true;
     unknown_.push_back(id);
     forget_oldest();
-    return outcome;
-  }
-  bool others_unresolved = job.in_flight > 0 || job.unknown;
-  if (!others_unresolved) {
+  } else if (job.in_flight == 0 && !job.unknown) {
     entries_.erase(found);
   }
-  return outcome == submit_result::refused && others_unresolved
-             ? submit_result::unknown
-             : outcome;
 }
 
-submit_result submission_outcomes::refusal_of(const model::job_id& id) const {
-  return entries_.contains(id) ? submit_result::unknown
-                               : submit_result::refused;
+bool submission_outcomes::may_be_stored(const model::job_id& id) const {
+  return entries_.contains(id);
 }
 
 void submission_outcomes::forget_oldest() {
--- a/tests/harness/include/harness/platform_cluster.h
+++ b/tests/harness/include/harness/platform_cluster.h
@@ -80,6 +80,8 @@
  private:
   struct running_daemon {
     std::string id;
+    /// The store's door of this daemon.
+    std::uint16_t store_port = 0;
     std::uint16_t caller_port = 0;
     std::uint16_t ready_port = 0;
     std::unique_ptr<child> process;
