Refuse submissions with 504 while memory is short

Cause: http::server refuses before the request is known, with one status for all its owners. Change: server_options::refusal_status; the callers' server on the platform uses 504. Where else: the servers of readiness checks and metrics serve no submissions.

--- a/apps/vanillaladderd/src/schedule.cc
+++ b/apps/vanillaladderd/src/schedule.cc
@@ -46,6 +46,11 @@
 /// use.
 constexpr std::size_t max_internal_connections = 64;
 constexpr std::size_t max_internal_request_bytes = 1U << 16;
+/// Status of a caller's request that is refused while memory is short. 503
+/// would mean that the submission never runs, but an earlier attempt may be
+/// stored.
+constexpr int caller_refusal_status = 504;
+constexpr int internal_refusal_status = 503;
 
 http::connection_limits internal_limits() {
   http::connection_limits limits;
@@ -108,18 +113,19 @@
   int run() {
     for (const auto& status :
          {listen(settings_.callers, dispatch::caller_limits(settings_),
-                 max_caller_request_bytes, caller_server_,
+                 max_caller_request_bytes, caller_refusal_status,
+                 caller_server_,
                  [this](const auto&call, const auto&answer) {
                    caller_api_.handle(call, answer);
                  }),
           listen(settings_.ready, internal_limits(), max_internal_request_bytes,
-                 ready_server_,
+                 internal_refusal_status, ready_server_,
                  [this](const auto&, const auto&answer) {
                    answer->respond({daemon_.ready() ? 200 : 503});
                  }),
           listen(settings_.metrics, internal_limits(),
-                 max_internal_request_bytes, metrics_server_,
-                 [this](const auto&, const auto&answer) {
+                 max_internal_request_bytes, internal_refusal_status,
+                 metrics_server_, [this](const auto&, const auto&answer) {
                    answer->respond({200,
                                     {{"content-type", "text/plain"}},
                                     metrics_.prometheus_text()});
@@ -150,13 +156,14 @@
 
   absl::Status listen(const dispatch::endpoint& listen_endpoint,
                       const http::connection_limits& limits,
-                      std::size_t max_request_bytes,
+                      std::size_t max_request_bytes, int refusal_status,
                       std::unique_ptr<http::server>& server, handler handle) {
     http::server_options options;
     options.address = listen_endpoint.address;
     options.port = listen_endpoint.port;
     options.limits = limits;
     options.max_request_bytes = max_request_bytes;
+    options.refusal_status = refusal_status;
     options.on_limit = [this](std::string_view cause) {
       on_callers_limited(cause);
     };
--- a/packages/http/include/http/server.h
+++ b/packages/http/include/http/server.h
@@ -37,6 +37,9 @@
   std::uint16_t port = 0;
   std::size_t max_request_bytes = 1U << 20;
   connection_limits limits = {};
+  /// Status of a request that is refused because memory is short. It has not
+  /// run, but where callers repeat requests an earlier attempt may have.
+  int refusal_status = 503;
   /// Called with the cause when a connection is closed or a request refused to
   /// keep the server within its limits.
   std::function<void(std::string_view cause)> on_limit = {};
@@ -45,7 +48,8 @@
 /// An HTTP/1.1 server. It answers 413 to a body above `max_request_bytes`, 431
 /// to headers above the limit, 411 to a chunked body and to a POST, PUT or
 /// PATCH without a content length, 408 to a request that takes too long to
-/// arrive, and 503 to one for which memory is short. None of these has run.
+/// arrive, and `refusal_status` to one for which memory is short. None of these
+/// has run.
 ///
 /// The next request of a connection is parsed once the one before is answered.
 class server {
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -364,7 +364,7 @@
   if (answering > 0 &&
       answering + bytes > options.limits.max_buffered_bytes / 2) {
     report_limit("memory_of_answering");
-    refuse(native, conn, 503);
+    refuse(native, conn, options.refusal_status);
     return;
   }
   conn.close_after_response = !conn.reader.keep_alive();
@@ -385,7 +385,7 @@
   conn.request_bytes = 0;
   update_ledger(conn);
   response answer{status, {}, ""};
-  if (status == 503) {
+  if (status == options.refusal_status) {
     answer.headers.push_back({"retry-after", std::string(retry_after_s)});
   }
   conn.current->respond(std::move(answer));
@@ -400,7 +400,7 @@
     }
     report_limit("memory_of_receiving");
     auto* native = native_of(*victim);
-    refuse(native, *connections.at(native), 503);
+    refuse(native, *connections.at(native), options.refusal_status);
   }
 }
 
@@ -588,8 +588,10 @@
   }
   impl_->connections.clear();
   impl_->natives.clear();
-  impl_->on_request = [](request, const std::shared_ptr<responder>& responder) {
-    responder->respond({503, {}, ""});
+  impl_->on_request = [status = impl_->options.refusal_status](
+                          request,
+                          const std::shared_ptr<responder>& responder) {
+    responder->respond({status, {}, ""});
   };
   impl_->closing = true;
   lws_vhost_destroy(impl_->vhost);
--- a/tests/schedule/retry_test.cc
+++ b/tests/schedule/retry_test.cc
@@ -19,7 +19,7 @@
   std::string job = next_id();
   json body = submission({{4, 1000, ""}}, {50, 0});
 
-  late_scene() {
+  explicit late_scene(harness::platform_options options = {}) : scene(options) {
     cluster.set_store(
         {{"late_append_topic", "jobs"}, {"late_append_ms", late_ms}});
     CHECK(cluster.submit(first, job, body).status == 504);
@@ -91,4 +91,34 @@
   s.complete();
 }
 
+// The same while many large requests use up the memory for them.
+TEST_CASE("a retry is not refused for want of memory") {
+  constexpr std::size_t attempts = 64;
+  constexpr std::size_t body_bytes = 200'000;
+  harness::platform_options options;
+  options.extra_limits = "memory_mb = 64\n";
+  late_scene s(options);
+  auto other = (s.first + 1) % s.cluster.daemon_count();
+  s.cluster.set_store(
+      {{"outage_doors", std::to_string(other)}, {"outage", "silent"}});
+  http::request message{"POST", standins::platform::queue_prefix + s.job, {}};
+  message.host = standins::platform::queue_host;
+  message.headers = {{"content-type", "application/json"}};
+  message.body = s.body.dump();
+  message.body.insert(1, body_bytes - message.body.size(), ' ');
+  harness::caller crowd;
+  std::vector<std::future<harness::outcome>> answers;
+  answers.reserve(attempts);
+  for (std::size_t n = 0; n < attempts; ++n) {
+    answers.push_back(crowd.start(s.cluster.caller_port(other), message));
+  }
+  std::size_t refused = 0;
+  for (auto& each : answers) {
+    auto status = each.get().status;
+    refused += status == 429 || status == 503 ? 1 : 0;
+  }
+  CHECK(refused == 0);
+  s.complete();
+}
+
 }  // namespace vanillaladder::schedule
