Let daemons whose reads fail claim the leadership last

Callers saw accepted work wait: a daemon that could append, but not read, claimed the lease after the leader was gone and started nothing, although another daemon reached the store.

Cause: a claim depends on the lease's topic alone. Ruled out: to claim only with recent copies (followers' are up to 3 s old in calm times); never to claim without reads (what runs would lose its leases). Change: 0.5 s more before a claim while the last read of the jobs, the operators' records or the workers failed. Conclusion: a leader whose reads begin to fail later stays the leader; open.

--- a/packages/dispatch/include/dispatch/leadership.h
+++ b/packages/dispatch/include/dispatch/leadership.h
@@ -54,6 +54,9 @@
   /// let others claim first. They need a few store calls, which take 4 ms each,
   /// or some tens of milliseconds while the store is slow.
   static constexpr std::chrono::milliseconds low_cpu_claim_delay{500};
+  /// The same for a daemon whose reads of other topics fail: it could renew the
+  /// lease, which takes appends alone, but start nothing.
+  static constexpr std::chrono::milliseconds failing_reads_claim_delay{500};
   /// A daemon has low capacity if it has less than this fraction of the largest
   /// known capacity.
   static constexpr double low_cpu_share = 0.5;
@@ -81,6 +84,8 @@
   void on_store_unreachable() { store_unreachable_ = true; }
   /// Called when the topic can be read; ends an outage.
   void on_store_reachable(model::time_point now);
+  /// Sets whether reads of the topics that a leader needs fail.
+  void set_reads_fail(bool fail) { reads_fail_ = fail; }
   /// Prepares a claim, renewal or release that the caller sends at `now`.
   /// @return the record to append.
   lease_record prepare_record(model::time_point now);
@@ -92,7 +97,7 @@
   bool superseded() const { return superseded_; }
 
   /// @return whether this daemon should try to claim the lease. A daemon with
-  ///   low processor capacity waits longer than the others.
+  ///   low processor capacity or failing reads waits longer than the others.
   bool may_claim(model::time_point now) const;
   /// @return whether the last record of the topic is a claim or renewal by this
   ///   daemon.
@@ -118,6 +123,7 @@
   bool resigned_ = false;
   bool superseded_ = false;
   bool store_unreachable_ = false;
+  bool reads_fail_ = false;
   model::time_point last_record_at_;
   /// When the last outage of the store ended. The delays that give precedence
   /// to other daemons count from then on.
@@ -148,6 +154,9 @@
     std::function<void()> on_lost;
     /// Called before a claim; returns whether this daemon is able to lead.
     std::function<bool()> can_lead = {};
+    /// Returns whether reads of the topics that a leader needs fail; asked
+    /// before a claim.
+    std::function<bool()> reads_fail = {};
     /// Returns the workers that the leader has no contact with, or nothing
     /// while it does not order workers yet. Asked before each renewal.
     std::function<std::optional<std::vector<batch::lost_worker>>()>
--- a/packages/dispatch/include/dispatch/scheduling_daemon.h
+++ b/packages/dispatch/include/dispatch/scheduling_daemon.h
@@ -53,6 +53,7 @@
   void retain_closed_domains(const std::set<std::string>& keys);
   void retain_workers(const std::set<std::string>& keys);
   bool can_lead() const;
+  bool reads_fail() const;
   void start_leader(model::epoch epoch);
   void stop_leader();
   void set_read_wait(std::chrono::milliseconds wait);
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -107,8 +107,13 @@
   if (!loaded_ || resigned_ || store_unreachable_ || holds()) {
     return false;
   }
-  auto claim_delay =
-      yields() ? low_cpu_claim_delay : std::chrono::milliseconds(0);
+  std::chrono::milliseconds claim_delay{0};
+  if (yields()) {
+    claim_delay += low_cpu_claim_delay;
+  }
+  if (reads_fail_) {
+    claim_delay += failing_reads_claim_delay;
+  }
   bool is_free = !last_record_ || last_record_->released;
   bool expired = is_free ? now - last_record_at_ >= claim_delay
                          : now - last_record_at_ > lifetime_ + claim_delay;
@@ -270,8 +275,10 @@
     }
     next_append = now + options.renewal_interval;
     append([] {});
-  } else if (lease.may_claim(now) &&
-             (!handlers.can_lead || handlers.can_lead())) {
+    return;
+  }
+  lease.set_reads_fail(handlers.reads_fail && handlers.reads_fail());
+  if (lease.may_claim(now) && (!handlers.can_lead || handlers.can_lead())) {
     next_append = now + retry_pause;
     append([] {});
   }
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -120,6 +120,7 @@
       leadership_(loop, store, leadership_options_of(settings),
                   {[this](model::epoch epoch) { start_leader(epoch); },
                    [this] { stop_leader(); }, [this] { return can_lead(); },
+                   [this] { return reads_fail(); },
                    [this] {
                      return leader_ == nullptr ? std::nullopt
                                                : leader_->lost_workers();
@@ -286,6 +287,14 @@
          jobs_follower_.loaded();
 }
 
+/// @return whether reads of a topic that a leader needs fail. Starts rest on
+///   recent copies, the lease of the leadership on appends alone.
+bool scheduling_daemon::reads_fail() const {
+  return !operator_follower_.store_reachable() ||
+         !worker_follower_.store_reachable() ||
+         !jobs_follower_.store_reachable();
+}
+
 void scheduling_daemon::start_leader(model::epoch epoch) {
   stop_leader();
   leader_options options;
--- a/packages/dispatch/test/leader_lease_test.cc
+++ b/packages/dispatch/test/leader_lease_test.cc
@@ -53,6 +53,26 @@
                          1ms));
 }
 
+// Guards against a leader that can store, but not read, and therefore starts
+// nothing, while another daemon could.
+TEST_CASE("a daemon whose reads fail lets others claim first") {
+  leader_lease cut_off("a", lifetime);
+  leader_lease other("b", lifetime);
+  lease_record record{"c", 1, 1, false, 0};
+  for (auto* lease : {&cut_off, &other}) {
+    lease->on_loaded(start);
+    lease->on_record(record, start);
+  }
+  cut_off.set_reads_fail(true);
+  REQUIRE(other.may_claim(start + lifetime + 1ms));
+  REQUIRE_FALSE(cut_off.may_claim(start + lifetime + 1ms));
+  // Nobody can read: what runs needs a leader for its leases.
+  REQUIRE(cut_off.may_claim(start + lifetime +
+                            leader_lease::failing_reads_claim_delay + 1ms));
+  cut_off.set_reads_fail(false);
+  REQUIRE(cut_off.may_claim(start + lifetime + 1ms));
+}
+
 // Guards against a needless delay where all daemons have low capacity.
 TEST_CASE("daemons with the capacity of earlier holders claim without delay") {
   leader_lease lease("a", lifetime, 100);
--- a/tests/standins/include/standins/platform_store.h
+++ b/tests/standins/include/standins/platform_store.h
@@ -21,7 +21,8 @@
 /// `silent`: no answer; nothing takes effect), `outage_doors` (the numbers of
 /// the doors that an outage affects; all if empty), `rejected_appends` (topics
 /// whose appends without a producer are answered with 503), `silent_reads`
-/// (topics whose reads get no answer), `silent_pages` (topics whose pages of
+/// (topics whose reads get no answer), `silent_doors` (the numbers of the doors
+/// where they get none; all if empty), `silent_pages` (topics whose pages of
 /// newest records get none, but for the first page), `held_appends` (topics
 /// whose appends take effect and are answered once the setting is changed),
 /// `late_append_topic` and `late_append_ms` (the next append to this topic gets
@@ -90,7 +91,9 @@
             std::int64_t door);
   void answer_read(const waiting_read& read);
   void wake_readers(const std::string& topic);
-  void read_newest(const http::request& message, const responder_ptr& answer);
+  void read_newest(const http::request& message, const responder_ptr& answer,
+                   std::int64_t door);
+  bool is_silent(const std::string& topic, std::int64_t door) const;
   void respond(const responder_ptr& answer, http::response response);
   void release_held();
 
@@ -104,6 +107,7 @@
   std::string outage_doors_;
   std::string rejected_appends_;
   std::string silent_reads_;
+  std::string silent_doors_;
   std::string silent_pages_;
   std::string held_appends_;
   std::string late_append_topic_;
--- a/tests/standins/src/platform_store.cc
+++ b/tests/standins/src/platform_store.cc
@@ -74,6 +74,7 @@
   knobs_.add("outage_doors", &outage_doors_);
   knobs_.add("rejected_appends", &rejected_appends_);
   knobs_.add("silent_reads", &silent_reads_);
+  knobs_.add("silent_doors", &silent_doors_);
   knobs_.add("silent_pages", &silent_pages_);
   knobs_.add("held_appends", &held_appends_);
   knobs_.add("late_append_topic", &late_append_topic_);
@@ -101,7 +102,7 @@
   } else if (path == "/v1/log-read") {
     read(message, answer, door);
   } else if (path == "/v1/log-newest") {
-    read_newest(message, answer);
+    read_newest(message, answer, door);
   } else {
     reply(answer, 404, {{"error", "no such resource"}});
   }
@@ -273,12 +274,18 @@
   return values;
 }
 
+/// @return whether reads of the topic get no answer at this door.
+bool platform_store::is_silent(const std::string& topic,
+                               std::int64_t door) const {
+  return names(silent_reads_, topic) && affects(silent_doors_, door);
+}
+
 void platform_store::read(const http::request& message,
                           const responder_ptr& answer, std::int64_t door) {
   waiting_read current{query_text(message.target, "topic"),
                        query_integer(message.target, "from", 0), door, answer,
                        0};
-  if (names(silent_reads_, current.topic)) {
+  if (is_silent(current.topic, door)) {
     return;
   }
   auto& target = topics_[current.topic];
@@ -296,7 +303,7 @@
 }
 
 void platform_store::answer_read(const waiting_read& read) {
-  if (names(silent_reads_, read.topic)) {
+  if (is_silent(read.topic, read.door)) {
     return;
   }
   const auto& target = topics_[read.topic];
@@ -339,11 +346,12 @@
 }
 
 void platform_store::read_newest(const http::request& message,
-                                 const responder_ptr& answer) {
+                                 const responder_ptr& answer,
+                                 std::int64_t door) {
   auto topic = query_text(message.target, "topic");
   // The key to continue after.
   auto after = query_text(message.target, "dependsOn");
-  if (names(silent_reads_, topic) ||
+  if (is_silent(topic, door) ||
       (!after.empty() && names(silent_pages_, topic))) {
     return;
   }
