Keep the waits of jobs over changes of the leader

Callers' best-effort jobs that had to wait for a worker, and lasting tasks that let others start first, waited anew under each leader; a chain of changes within 1.5 s (3.5 s) kept them from running.

Cause: the waits began with the first plan of each leader. Ruled out: a list of waits beside the lease record, which grows with the backlog. Change: the age of a job counts from its acceptance; records of progress carry the time at which they were written (an optional field that earlier versions skip). Evidence: batch_test "changes of the leader do not lengthen a best-effort job's wait" (two sections) and "... the patience of a task" fail with just the mend taken out (no start within 4 s and 6 s) and pass now; batch_test and dispatch_test pass. The test fixture's wall clock advances with its time.

--- a/packages/batch/gen/batch_records_types.cpp
+++ b/packages/batch/gen/batch_records_types.cpp
@@ -1263,6 +1263,11 @@
 void step_progress::__set_tasks(const std::vector<task> & val) {
   this->tasks = val;
 }
+
+void step_progress::__set_stored_unix_ms(const int64_t val) {
+  this->stored_unix_ms = val;
+__isset.stored_unix_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const step_progress& obj)
 {
   obj.printTo(out);
@@ -1311,6 +1316,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stored_unix_ms);
+          this->__isset.stored_unix_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1340,6 +1353,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.stored_unix_ms) {
+    xfer += oprot->writeFieldBegin("stored_unix_ms", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->stored_unix_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1348,15 +1366,18 @@
 void swap(step_progress &a, step_progress &b) {
   using ::std::swap;
   swap(a.tasks, b.tasks);
+  swap(a.stored_unix_ms, b.stored_unix_ms);
   swap(a.__isset, b.__isset);
 }
 
 step_progress::step_progress(const step_progress& other34) {
   tasks = other34.tasks;
+  stored_unix_ms = other34.stored_unix_ms;
   __isset = other34.__isset;
 }
 step_progress& step_progress::operator=(const step_progress& other35) {
   tasks = other35.tasks;
+  stored_unix_ms = other35.stored_unix_ms;
   __isset = other35.__isset;
   return *this;
 }
@@ -1364,6 +1385,7 @@
   using ::apache::thrift::to_string;
   out << "step_progress(";
   out << "tasks=" << to_string(tasks);
+  out << ", " << "stored_unix_ms="; (__isset.stored_unix_ms ? (out << to_string(stored_unix_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/batch/gen/batch_records_types.h
+++ b/packages/batch/gen/batch_records_types.h
@@ -501,8 +501,9 @@
 std::ostream& operator<<(std::ostream& out, const task& obj);
 
 typedef struct _step_progress__isset {
-  _step_progress__isset() : tasks(false) {}
+  _step_progress__isset() : tasks(false), stored_unix_ms(false) {}
   bool tasks :1;
+  bool stored_unix_ms :1;
 } _step_progress__isset;
 
 class step_progress : public virtual ::apache::thrift::TBase {
@@ -510,20 +511,28 @@
 
   step_progress(const step_progress&);
   step_progress& operator=(const step_progress&);
-  step_progress() noexcept {
+  step_progress() noexcept
+                : stored_unix_ms(0) {
   }
 
   virtual ~step_progress() noexcept;
   std::vector<task>  tasks;
+  int64_t stored_unix_ms;
 
   _step_progress__isset __isset;
 
   void __set_tasks(const std::vector<task> & val);
 
+  void __set_stored_unix_ms(const int64_t val);
+
   bool operator == (const step_progress & rhs) const
   {
     if (!(tasks == rhs.tasks))
       return false;
+    if (__isset.stored_unix_ms != rhs.__isset.stored_unix_ms)
+      return false;
+    else if (__isset.stored_unix_ms && !(stored_unix_ms == rhs.stored_unix_ms))
+      return false;
     return true;
   }
   bool operator != (const step_progress &rhs) const {
--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -93,6 +93,11 @@
   std::optional<time_point> waiting_since;
   /// When all dependencies were complete and tasks could start.
   time_point ready_since;
+  /// When its last task was done; the clock's epoch before that.
+  time_point completed_at;
+  /// When the last of its restored records was written; the clock's epoch if
+  /// none was restored.
+  time_point restored_record_at;
   /// The last placement round that examined this step.
   std::int64_t last_round = 0;
   /// The same for the first pass of a round with organisations.
--- a/packages/batch/include/batch/job_records.h
+++ b/packages/batch/include/batch/job_records.h
@@ -61,6 +61,14 @@
   bool operator==(const task_record&) const = default;
 };
 
+/// Progress of consecutive tasks of a step, as one record holds it.
+struct step_progress {
+  std::vector<task_record> tasks;
+  /// When the record was written; 0 if unknown, as in those of earlier
+  /// versions.
+  unix_ms stored_at = 0;
+};
+
 std::string to_string(const step_key& key);
 std::optional<step_key> parse_step_key(std::string_view text);
 
@@ -89,12 +97,13 @@
 
 std::string encode(const job_spec& spec);
 std::string encode(const job_status& status);
-std::string encode(const std::vector<task_record>& tasks);
+std::string encode(const std::vector<task_record>& tasks,
+                   unix_ms stored_at = 0);
 
 /// The decoding functions return `DataLoss` if the value is malformed.
 absl::StatusOr<job_spec> decode_job(const model::job_id& id,
                                     std::string_view value);
 absl::StatusOr<job_status> decode_status(std::string_view value);
-absl::StatusOr<std::vector<task_record>> decode_tasks(std::string_view value);
+absl::StatusOr<step_progress> decode_progress(std::string_view value);
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -97,10 +97,12 @@
   void inherit_lost_workers(std::span<const lost_worker> lost);
   /// Restores a record of the progress of a step that a previous leader stored.
   /// Must be called before the first report.
+  /// @param since_stored time since the record was written.
   /// @return false if the step or one of the tasks does not exist.
   bool restore_progress(const step_key& key,
                         const std::vector<task_record>& tasks, time_point now,
-                        int part = 0);
+                        int part = 0,
+                        milliseconds since_stored = milliseconds(0));
   /// Removes the stored progress of a step whose job no longer exists.
   void remove_progress(const progress_key& key);
   /// Removes the record of a job that was submitted again after it had ended.
@@ -205,6 +207,8 @@
   void open_due_occurrences(time_point now, unix_ms wall);
   void complete_job_if_done(job_entry& job);
   bool is_ready(const step_state& step) const;
+  static time_point ready_time(const step_state& step, time_point now);
+  static void note_waiting(step_state& step, time_point now);
   void set_state(job_entry& job, job_state state);
   void mark_begun(job_entry& job);
   void stop_all_runs(job_entry& job, time_point now);
--- a/packages/batch/src/job_records.cc
+++ b/packages/batch/src/job_records.cc
@@ -257,8 +257,11 @@
                     std::move(in->queue)};
 }
 
-std::string encode(const std::vector<task_record>& tasks) {
+std::string encode(const std::vector<task_record>& tasks, unix_ms stored_at) {
   wire::step_progress out;
+  if (stored_at != 0) {
+    out.__set_stored_unix_ms(stored_at);
+  }
   for (const auto& task : tasks) {
     auto& to = out.tasks.emplace_back();
     to.index = task.index;
@@ -276,12 +279,15 @@
   return write_record(out);
 }
 
-absl::StatusOr<std::vector<task_record>> decode_tasks(std::string_view value) {
+absl::StatusOr<step_progress> decode_progress(std::string_view value) {
   auto in = read_record<wire::step_progress>(value, "step progress");
   if (!in.ok()) {
     return in.status();
   }
-  std::vector<task_record> tasks;
+  step_progress progress;
+  if (in->__isset.stored_unix_ms) {
+    progress.stored_at = in->stored_unix_ms;
+  }
   for (auto& from : in->tasks) {
     task_record task{from.index,
                      from.done,
@@ -295,9 +301,9 @@
     if (!is_valid(task)) {
       return absl::DataLossError("decode step progress: number out of range");
     }
-    tasks.push_back(std::move(task));
+    progress.tasks.push_back(std::move(task));
   }
-  return tasks;
+  return progress;
 }
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -234,6 +234,42 @@
   return false;
 }
 
+/// @return when the ready step could start first, also under an earlier leader.
+time_point scheduler::ready_time(const step_state& step, time_point now) {
+  const auto& job = *step.job;
+  // An occurrence is opened when it falls due.
+  if (job.spec->repeat_count > 0) {
+    return now;
+  }
+  auto ready = job.arrived_at;
+  const auto& steps = job.occurrences.front().steps;
+  for (int earlier : step.spec->depends_on) {
+    ready =
+        std::max(ready, steps[static_cast<std::size_t>(earlier)].completed_at);
+  }
+  return std::min(ready, now);
+}
+
+/// Notes since when a ready step has had tasks that wait. A change of the
+/// leader does not end a wait.
+void scheduler::note_waiting(step_state& step, time_point now) {
+  if (step.ready_since == time_point()) {
+    step.ready_since = ready_time(step, now);
+  }
+  if (step.waiting_since) {
+    return;
+  }
+  bool has_started = std::ranges::any_of(
+      step.tasks, [](const auto& task) { return task.last_run > 0; });
+  if (!has_started) {
+    step.waiting_since = step.ready_since;
+  } else {
+    // Tasks that wait in a restored record have waited since it was written.
+    auto restored = std::exchange(step.restored_record_at, time_point());
+    step.waiting_since = restored == time_point() ? now : restored;
+  }
+}
+
 void scheduler::set_state(job_entry& job, job_state state) {
   if (job.state == state || has_ended(job.state)) {
     return;
@@ -306,7 +342,8 @@
 
 bool scheduler::restore_progress(const step_key& key,
                                  const std::vector<task_record>& tasks,
-                                 time_point now, int part) {
+                                 time_point now, int part,
+                                 milliseconds since_stored) {
   auto* job = find_job(key.job);
   if (job == nullptr) {
     return false;
@@ -355,6 +392,11 @@
       std::ranges::any_of(step->tasks, &detail::task_state::done)) {
     complete_gang(*step, now);
   }
+  step->restored_record_at =
+      std::max(step->restored_record_at, now - since_stored);
+  if (step->complete()) {
+    step->completed_at = step->restored_record_at;
+  }
   // The previous leader may have stored the last failure of a task, but not yet
   // that its job has failed.
   if (std::ranges::any_of(step->tasks, [&](const auto& task) {
@@ -517,6 +559,9 @@
     }
     task.done = true;
     ++step.completed_tasks;
+    if (step.complete()) {
+      step.completed_at = now;
+    }
   }
   for (auto& run : task.runs) {
     order_stop(step, index, run, "task_done", now);
@@ -660,7 +705,7 @@
         for (auto part = step.dirty_parts.rbegin();
              part != step.dirty_parts.rend(); ++part) {
           out.progress.push_back({to_string(progress_key{step.key, *part}),
-                                  encode(records_of(step, *part))});
+                                  encode(records_of(step, *part), wall)});
         }
         step.dirty_parts.clear();
       }
--- a/packages/batch/src/scheduler_rank.cc
+++ b/packages/batch/src/scheduler_rank.cc
@@ -22,12 +22,7 @@
           step.waiting_since.reset();
           continue;
         }
-        if (!step.waiting_since) {
-          step.waiting_since = now;
-        }
-        if (step.ready_since == time_point()) {
-          step.ready_since = now;
-        }
+        note_waiting(step, now);
         bool yields = step.spec->long_running &&
                       now - *step.waiting_since < long_running_patience;
         ranked_step each{&step,        job->policy.priority,
--- a/packages/batch/test/job_records_property_test.cc
+++ b/packages/batch/test/job_records_property_test.cc
@@ -204,10 +204,10 @@
       [] {
         auto tasks = random_tasks();
         auto bytes = encode(tasks);
-        auto read = decode_tasks(bytes);
+        auto read = decode_progress(bytes);
         RC_ASSERT(read.ok());
-        RC_ASSERT(*read == tasks);
-        RC_ASSERT(!decode_tasks(cut(bytes)).ok());
+        RC_ASSERT(read->tasks == tasks);
+        RC_ASSERT(!decode_progress(cut(bytes)).ok());
       },
       cases / 5);
 }
@@ -227,11 +227,11 @@
         if (kind < 4) {
           bytes = kind == 0 ? random_bytes() : damage_bytes(std::move(bytes));
         }
-        auto read = decode_tasks(bytes);
+        auto read = decode_progress(bytes);
         if (!read.ok()) {
           return;
         }
-        for (const auto& task : *read) {
+        for (const auto& task : read->tasks) {
           RC_ASSERT(task.index >= 0);
           RC_ASSERT(task.index < max_tasks_per_job);
           RC_ASSERT(task.last_run >= 0);
--- a/packages/batch/test/job_records_test.cc
+++ b/packages/batch/test/job_records_test.cc
@@ -44,9 +44,12 @@
   std::vector<task_record> tasks = {
       {0, true, 2, 1, "", {}},
       {3, false, 5, 0, "00ab", {{5, "i-1", 1'700'000'000'002}}}};
-  auto read = decode_tasks(encode(tasks));
+  auto read = decode_progress(encode(tasks, 1'700'000'000'003));
   REQUIRE(read.ok());
-  REQUIRE(*read == tasks);
+  REQUIRE(read->tasks == tasks);
+  REQUIRE(read->stored_at == 1'700'000'000'003);
+  // As written by the previous version.
+  REQUIRE(decode_progress(encode(tasks))->stored_at == 0);
 }
 
 TEST_CASE("keys are unchanged after formatting and parsing") {
@@ -76,7 +79,7 @@
     REQUIRE_FALSE(cut.ok());
   }
   REQUIRE_FALSE(decode_status("\xff\xff\xff").ok());
-  REQUIRE_FALSE(decode_tasks(std::string(64, '\x19')).ok());
+  REQUIRE_FALSE(decode_progress(std::string(64, '\x19')).ok());
   for (const char* key : {"", "j", "j/", "x/a", "5/0", "a/b/c", "a/1/2/3"}) {
     REQUIRE_FALSE(parse_job_record_key(key).has_value());
     REQUIRE_FALSE(parse_step_key(key).has_value());
--- a/packages/batch/test/scheduler_best_effort_test.cc
+++ b/packages/batch/test/scheduler_best_effort_test.cc
@@ -220,5 +220,41 @@
   REQUIRE(f.longest_overrun(40, 21) <= 3s);
 }
 
+// Guards against a job that waits anew at each change of the leader: a chain of
+// changes, each before the end of the wait, kept it from running for good.
+TEST_CASE("changes of the leader do not lengthen a best-effort job's wait") {
+  best_effort_fixture f;
+  f.add_serving_worker("w1");
+  f.add_job("f", {best_effort_fixture::best_effort_step("a")});
+  f.plan();
+  // The serving task responds so slowly that nothing is started beside it until
+  // a job starves.
+  f.advance_half_second(20);
+  std::string waiting;
+  SECTION("of a step that is ready at once") {
+    f.add_job("g", {best_effort_fixture::best_effort_step("b")});
+    waiting = "g.0.0.0";
+  }
+  SECTION("of a step that follows another one") {
+    auto second = best_effort_fixture::best_effort_step("b");
+    second.depends_on = {0};
+    f.add_job("g", {scheduler_fixture::step(1, 100), second});
+    f.plan();
+    f.end("g.0.0.0", end_reason::done);
+    f.report_all();
+    waiting = "g.0.1.0";
+  }
+  f.plan();
+  auto begin = f.now();
+  while (f.workers_running(waiting).empty()) {
+    REQUIRE(f.now() - begin < 4s);
+    f.advance_half_second(20);
+    f.take_over({});
+    f.report_all();
+    f.plan();
+  }
+  REQUIRE(f.now() - begin >= 1500ms);
+}
+
 }  // namespace
 }  // namespace vanillaladder::batch
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -59,12 +59,14 @@
         options_, now_, [this](std::string line) { log.push_back(line); });
     scheduler_->inherit_lost_workers(lost);
     for (const auto& [id, spec] : jobs) {
-      scheduler_->add_job(spec, now_, wall_start);
+      scheduler_->add_job(spec, now_, wall());
     }
     for (const auto& [key, value] : records) {
       if (auto parsed = parse_progress_key(key)) {
-        scheduler_->restore_progress(parsed->step, *decode_tasks(value), now_,
-                                     parsed->part);
+        auto progress = *decode_progress(value);
+        scheduler_->restore_progress(parsed->step, progress.tasks, now_,
+                                     parsed->part,
+                                     milliseconds(wall() - progress.stored_at));
       }
     }
     for (auto& [id, worker] : workers) {
@@ -120,13 +122,16 @@
 
   void add_job(const std::string& id, std::vector<step_spec> steps,
                int attempts = 2) {
-    jobs[id] = make_job(id, std::move(steps), attempts);
-    scheduler_->add_job(jobs[id], now_, wall_start);
+    auto spec =
+        std::make_shared<job_spec>(*make_job(id, std::move(steps), attempts));
+    spec->accepted_at = wall();
+    jobs[id] = spec;
+    scheduler_->add_job(spec, now_, wall());
   }
 
   /// Makes a plan, stores its records and executes its orders.
   commit plan(int units = scheduler::default_plan_units) {
-    auto result = scheduler_->plan(now_, wall_start, units);
+    auto result = scheduler_->plan(now_, wall(), units);
     store(result);
     scheduler_->on_progress_committed();
     scheduler_->on_jobs_committed(result.plan);
@@ -240,6 +245,10 @@
 
   scheduler& tested_scheduler() { return *scheduler_; }
   time_point now() const { return now_; }
+  unix_ms wall() const {
+    return wall_start +
+           std::chrono::duration_cast<milliseconds>(now_ - first_time).count();
+  }
   milliseconds clock_of_worker() const { return clock_of({}); }
   milliseconds clock_of(const fake_worker& worker) const {
     return std::chrono::duration_cast<milliseconds>(now_ - worker.started_at);
@@ -304,7 +313,8 @@
   }
 
   scheduler_options options_;
-  time_point now_{100s};
+  static constexpr time_point first_time{100s};
+  time_point now_ = first_time;
   std::unique_ptr<scheduler> scheduler_;
 };
 
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -91,8 +91,8 @@
   REQUIRE(ending.progress.size() == 1);
   REQUIRE_FALSE(ending.progress[0].value.empty());
   // A leader that reads only this part knows that the task is done.
-  auto tasks = decode_tasks(ending.progress[0].value);
-  REQUIRE(tasks->at(0).done);
+  auto progress = decode_progress(ending.progress[0].value);
+  REQUIRE(progress->tasks.at(0).done);
   // The records of an earlier plan do not include the end.
   f.tested_scheduler().on_jobs_committed(ending.plan - 1);
   REQUIRE(f.tested_scheduler()
@@ -503,7 +503,7 @@
   f.tested_scheduler().add_job(f.jobs.at("a"), f.now(),
                                scheduler_fixture::wall_start);
   REQUIRE(f.tested_scheduler().restore_progress(
-      {"a", 0, 0}, *decode_tasks(f.records.at("a/0/0")), f.now()));
+      {"a", 0, 0}, decode_progress(f.records.at("a/0/0"))->tasks, f.now()));
   f.add_worker("w3", {1000, 4000, 0});
   f.advance_time(10ms);
   f.report_all();
@@ -552,6 +552,31 @@
   }
 }
 
+// Guards against a lasting task that lets others start first for a while, anew
+// under each leader.
+TEST_CASE("changes of the leader do not lengthen the patience of a task") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  auto lasting = scheduler_fixture::step(1, 4000);
+  lasting.long_running = true;
+  f.add_job("f0", {scheduler_fixture::step(1, 4000)});
+  f.plan();
+  f.add_job("a", {lasting});
+  auto begin = f.now();
+  for (int n = 0; f.workers_running("a.0.0.0").empty(); ++n) {
+    REQUIRE(f.now() - begin < 6s);
+    f.add_job("f" + std::to_string(n + 1), {scheduler_fixture::step(1, 4000)});
+    f.advance_time(1s);
+    f.end("f" + std::to_string(n) + ".0.0.0", end_reason::done);
+    f.report_all();
+    f.plan();
+    f.take_over({});
+    f.report_all();
+    f.plan();
+  }
+  REQUIRE(f.now() - begin >= 3s);
+}
+
 TEST_CASE("a new leader does not start a task that has failed too often") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 4000, 0});
@@ -582,7 +607,7 @@
   f.tested_scheduler().add_job(f.jobs.at("a"), f.now(),
                                scheduler_fixture::wall_start);
   f.tested_scheduler().restore_progress(
-      {"a", 0, 0}, *decode_tasks(f.records.at("a/0/0")), f.now());
+      {"a", 0, 0}, decode_progress(f.records.at("a/0/0"))->tasks, f.now());
   f.tested_scheduler().end_job("a", job_state::cancelled, f.now());
   f.plan();
   REQUIRE(f.running() == 0);
@@ -733,7 +758,7 @@
 TEST_CASE("a new leader takes a gang with one stored end as done") {
   scheduler_fixture f;
   start_gang(f);
-  auto records = *decode_tasks(f.records.at("a/0/0"));
+  auto records = decode_progress(f.records.at("a/0/0"))->tasks;
   records[1].done = true;
   records[1].runs.clear();
   f.take_over();
--- a/packages/batch/thrift/batch_records.thrift
+++ b/packages/batch/thrift/batch_records.thrift
@@ -59,6 +59,7 @@
 
 struct step_progress {
   1: list<task> tasks
+  2: optional i64 stored_unix_ms
 }
 
 struct job_state {
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -265,15 +265,19 @@
   update_closed_domains();
   scheduler.inherit_lost_workers(context.lost_workers);
   restore_jobs();
+  auto wall = wall_now();
   int unreadable = 0;
   for (const auto& record : progress_records) {
     auto key = batch::parse_progress_key(record.key);
-    auto tasks = batch::decode_tasks(record.value);
-    if (!key || !tasks.ok()) {
+    auto progress = batch::decode_progress(record.value);
+    if (!key || !progress.ok()) {
       ++unreadable;
       continue;
     }
-    if (!scheduler.restore_progress(key->step, *tasks, boot_now(), key->part)) {
+    bool has_age = progress->stored_at > 0 && progress->stored_at < wall;
+    batch::milliseconds age(has_age ? wall - progress->stored_at : 0);
+    if (!scheduler.restore_progress(key->step, progress->tasks, boot_now(),
+                                    key->part, age)) {
       scheduler.remove_progress(*key);
     }
   }
