Say how old a state is that the store did not confirm

Cause: a copy is shown if the read fails, and the answer does not say so. Ruled out: 503 beyond an age, which takes an answer away that is mostly right; a bound of the age, which an outage does not have. Change: such an answer has the header Age from 3 s on. The HTTP client keeps this header.

--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -26,6 +26,8 @@
   enum class kind { known, no_such_job, unavailable };
   kind outcome = kind::unavailable;
   batch::job_state state = batch::job_state::queued;
+  /// Time since the state was known to be current; 0 for a final one.
+  std::chrono::milliseconds age{0};
 };
 
 /// Accepts and cancels jobs and reports their state.
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -232,7 +232,7 @@
   // The job may be newer than the local copy of the topic.
   follower_->refresh([this, id, done = std::move(done)](bool fresh) {
     if (const auto* found = find_submitted(id); found != nullptr) {
-      done({job_answer::kind::known, found->visible_state()});
+      show_known_job(id, done);
       return;
     }
     report_.routine("desk",
@@ -250,7 +250,12 @@
     done({job_answer::kind::unavailable, {}});
     return;
   }
-  done({job_answer::kind::known, found->visible_state()});
+  job_answer answer{job_answer::kind::known, found->visible_state()};
+  if (!batch::has_ended(answer.state)) {
+    answer.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        boot_now() - follower_->current_as_of());
+  }
+  done(answer);
 }
 
 void job_service::cancel(const model::job_id& id,
--- a/packages/dispatch/test/job_service_test.cc
+++ b/packages/dispatch/test/job_service_test.cc
@@ -207,6 +207,7 @@
   f.service.show("a", [&](job_answer result) { answer = result; });
   f.run_until([&] { return answer.has_value(); });
   REQUIRE(answer->outcome == job_answer::kind::known);
+  REQUIRE(answer->age >= 2 * job_service::max_shown_age);
 }
 
 // Reads of an unresponsive store report no error until their wait is over.
--- a/packages/http/src/headers.cc
+++ b/packages/http/src/headers.cc
@@ -22,6 +22,7 @@
     {"accept", WSI_TOKEN_HTTP_ACCEPT},
     {"accept-encoding", WSI_TOKEN_HTTP_ACCEPT_ENCODING},
     {"accept-language", WSI_TOKEN_HTTP_ACCEPT_LANGUAGE},
+    {"age", WSI_TOKEN_HTTP_AGE},
     {"authorization", WSI_TOKEN_HTTP_AUTHORIZATION},
     {"cookie", WSI_TOKEN_HTTP_COOKIE},
     {"set-cookie", WSI_TOKEN_HTTP_SET_COOKIE},
--- a/tests/schedule/old_view_test.cc
+++ b/tests/schedule/old_view_test.cc
@@ -169,4 +169,32 @@
   s.check_promises();
 }
 
+// Guards against a state from an old copy that passes for the present one.
+TEST_CASE("a state that can't be read says how old it is") {
+  scene s;
+  auto job = s.submit(s.cluster.follower(), 1, lasting);
+  REQUIRE(s.runs(job, 1));
+  auto show = [&](std::size_t daemon) {
+    http::request message{"GET", standins::platform::queue_prefix + job, {}};
+    message.host = standins::platform::queue_host;
+    return harness::caller().call(s.cluster.caller_port(daemon), message);
+  };
+  for (std::size_t n = 0; n < s.cluster.daemon_count(); ++n) {
+    REQUIRE(s.reaches(n, job, "running"));
+    CHECK(show(n).header("age").empty());
+  }
+  s.cluster.set_store({{"outage", "silent"}});
+  scene::pass(6s);
+  for (std::size_t n = 0; n < s.cluster.daemon_count(); ++n) {
+    auto answer = show(n);
+    INFO(n << " " << answer.body);
+    CHECK(answer.status == 200);
+    CHECK(answer.header("age") >= "3");
+    CHECK(answer.header("age").size() == 1);
+  }
+  s.cluster.set_store({{"outage", "none"}});
+  s.complete_one();
+  s.check_promises();
+}
+
 }  // namespace vanillaladder::schedule
