--- a/packages/http/src/channel.cc
+++ b/packages/http/src/channel.cc
@@ -36,9 +36,10 @@
   bool possibly_sent = false;
 };
 
-std::string serialize(const request& message, const std::string& host) {
-  auto text = absl::StrCat(message.method, " ", message.target,
-                           " HTTP/1.1\r\nHost: ", host, "\r\n");
+std::string serialize(const request& message, const std::string& peer) {
+  auto text =
+      absl::StrCat(message.method, " ", message.target, " HTTP/1.1\r\nHost: ",
+                   message.host.empty() ? peer : message.host, "\r\n");
   for (const auto& item : message.headers) {
     absl::StrAppend(&text, item.name, ": ", item.value, "\r\n");
   }
--- a/tests/standins/include/standins/platform_store.h
+++ b/tests/standins/include/standins/platform_store.h
@@ -26,7 +26,8 @@
 /// newest records get none, but for the first page), `held_appends` (topics
 /// whose appends take effect and are answered once the setting is changed),
 /// `late_append_topic` and `late_append_ms` (the next append to this topic gets
-/// no answer and takes effect after this time), `lose_answers` (the next n
+/// no answer and takes effect after this time), `late_every` (not only the next
+/// append, but each n-th one), `lose_answers` (the next n
 /// appends take effect and their connections are closed), `delay_ms` (before
 /// each answer), `page_keys` (keys on a page of newest records), `record_bytes`
 /// (a longer record is refused).
@@ -83,6 +84,7 @@
     http::event_loop::timer_id timer = 0;
   };
 
+  bool is_late(const std::string& topic);
   void accept_append(const http::request& message, const responder_ptr& answer);
   http::response append(const http::request& message);
   http::response append_once(const http::request& message, topic_state& target);
@@ -112,6 +114,8 @@
   std::string held_appends_;
   std::string late_append_topic_;
   std::int64_t late_append_ms_ = 0;
+  std::int64_t late_every_ = 0;
+  std::int64_t appends_seen_ = 0;
   std::int64_t lose_answers_ = 0;
   std::int64_t delay_ms_ = 0;
   std::int64_t page_keys_ = 500;
--- a/tests/standins/include/standins/platform_workers.h
+++ b/tests/standins/include/standins/platform_workers.h
@@ -25,7 +25,9 @@
 /// It starts whatever it is told to, under a lease on its own clock. Settings:
 /// `silent` (calls have no effect and no answer, its entry lapses, its tasks go
 /// on), `dead` (it runs nothing; once set back, it starts again under its id,
-/// with a new clock), `draining`, `failing` (what it starts fails at once).
+/// with a new clock), `draining`, `failing` (what it starts fails at once),
+/// `late_orders` and `late_order_ms` (the next n starts, stops and paces get no
+/// answer and are executed after this time, unless the process has ended).
 class platform_worker {
  public:
   struct options {
@@ -69,6 +71,8 @@
     clock::time_point until;
   };
 
+  bool defer_order(const http::request& message);
+  void execute(const http::request& message, const responder_ptr& answer);
   void begin_life();
   void lose_all(std::string_view why);
   std::int64_t clock_ms() const;
@@ -93,6 +97,8 @@
   bool dead_ = false;
   bool draining_ = false;
   bool failing_ = false;
+  std::int64_t late_orders_ = 0;
+  std::int64_t late_order_ms_ = 0;
   bool was_dead_ = false;
   clock::time_point born_;
   std::int64_t born_unix_ms_ = 0;
--- a/tests/standins/src/platform_store.cc
+++ b/tests/standins/src/platform_store.cc
@@ -79,6 +79,7 @@
   knobs_.add("held_appends", &held_appends_);
   knobs_.add("late_append_topic", &late_append_topic_);
   knobs_.add("late_append_ms", &late_append_ms_);
+  knobs_.add("late_every", &late_every_);
   knobs_.add("lose_answers", &lose_answers_);
   knobs_.add("delay_ms", &delay_ms_);
   knobs_.add("page_keys", &page_keys_);
@@ -138,6 +139,12 @@
       [answer, response = std::move(response)] { answer->respond(response); });
 }
 
+/// @return whether this append takes effect later.
+bool platform_store::is_late(const std::string& topic) {
+  return late_append_ms_ > 0 && names(late_append_topic_, topic) &&
+         (late_every_ == 0 || ++appends_seen_ % late_every_ == 0);
+}
+
 void platform_store::accept_append(const http::request& message,
                                    const responder_ptr& answer) {
   auto topic = query_text(message.target, "topic");
@@ -146,8 +153,11 @@
     respond(answer, http::json_response(503, "{}"));
     return;
   }
-  if (late_append_ms_ > 0 && names(late_append_topic_, topic)) {
-    auto delay = milliseconds(std::exchange(late_append_ms_, 0));
+  if (is_late(topic)) {
+    auto delay = milliseconds(late_append_ms_);
+    if (late_every_ == 0) {
+      late_append_ms_ = 0;
+    }
     loop_->call_after(delay, [this, message, topic] {
       auto result = append(message);
       events_->add("late_append",
--- a/tests/standins/src/platform_workers.cc
+++ b/tests/standins/src/platform_workers.cc
@@ -26,6 +26,13 @@
   return task.substr(0, task.rfind('.'));
 }
 
+/// Drops the answer to a call whose caller no longer waits.
+struct discarding_responder : http::responder {
+  void respond(http::response) override {}
+  bool connected() const override { return false; }
+  void on_disconnect(std::function<void()>) override {}
+};
+
 }  // namespace
 
 platform_worker::platform_worker(platform_workers& fleet, options settings)
@@ -34,6 +41,8 @@
   knobs_.add("dead", &dead_);
   knobs_.add("draining", &draining_);
   knobs_.add("failing", &failing_);
+  knobs_.add("late_orders", &late_orders_);
+  knobs_.add("late_order_ms", &late_order_ms_);
   begin_life();
 }
 
@@ -79,9 +88,39 @@
   return values;
 }
 
+/// Leaves an order unanswered and executes it later, if the test asks for that.
+/// @return whether it did.
+bool platform_worker::defer_order(const http::request& message) {
+  auto path = http::path_of(message.target);
+  if (late_orders_ == 0 || (path != "/v1/run-start" && path != "/v1/run-stop" &&
+                            path != "/v1/pace")) {
+    return false;
+  }
+  --late_orders_;
+  auto body = json::parse(message.body, nullptr, false);
+  fleet_->events_->add("late_order", {{"path", std::string(path)},
+                                      {"task", body.value("task", "")},
+                                      {"run", body.value("run", 0)},
+                                      {"worker", options_.id}});
+  fleet_->loop_->call_after(
+      milliseconds(late_order_ms_), [this, message, life = born_unix_ms_] {
+        if (life == born_unix_ms_) {
+          execute(message, std::make_shared<discarding_responder>());
+        }
+      });
+  return true;
+}
+
 void platform_worker::handle(const http::request& message,
                              const responder_ptr& answer) {
-  if (dead_ || silent_) {
+  if (!dead_ && !silent_ && !defer_order(message)) {
+    execute(message, answer);
+  }
+}
+
+void platform_worker::execute(const http::request& message,
+                              const responder_ptr& answer) {
+  if (dead_) {
     return;
   }
   auto body = json::parse(message.body, nullptr, false);
