Let the age of a job count only at a takeover, close domains in the soak

Callers' serving tasks could have been slowed down since: a best-effort job accepted by a daemon whose clock is behind the leader's counted as having waited and was started beside late serving tasks at once.

Cause: the wait of each job began with its time of acceptance, by another clock. Change: only jobs that a new leader restores count from their acceptance.

The soak also closes failure domains and checks that nothing starts there later than 5.5 s after; VL_SOAK_DAEMONS sets the number of daemons.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -130,6 +130,10 @@
   std::shared_ptr<const job_spec> spec;
   queue_policy policy;
   time_point arrived_at;
+  /// Since when it has been known to this leader; if it was restored, since its
+  /// acceptance. Clocks of daemons differ, so that only changes of the leader
+  /// rely on the time of acceptance.
+  time_point known_since;
   job_deadlines deadlines;
   /// Expected time from the start of each step to the end of the job.
   std::vector<milliseconds> remaining_chains;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -147,6 +147,8 @@
   job->policy = queue == queues_.end() ? spec->policy : queue->second;
   auto age = milliseconds(std::max<unix_ms>(0, wall - spec->accepted_at));
   job->arrived_at = now - age;
+  bool is_restored = plan_number_ == 0;
+  job->known_since = is_restored ? job->arrived_at : now;
   set_deadlines(*job, job->arrived_at);
   observe_size(*job);
   job->surplus = shares_.is_surplus(spec->organisation, spec->accepted_at);
@@ -241,7 +243,7 @@
   if (job.spec->repeat_count > 0) {
     return now;
   }
-  auto ready = job.arrived_at;
+  auto ready = job.known_since;
   const auto& steps = job.occurrences.front().steps;
   for (int earlier : step.spec->depends_on) {
     ready =
--- a/packages/batch/test/scheduler_best_effort_test.cc
+++ b/packages/batch/test/scheduler_best_effort_test.cc
@@ -256,5 +256,23 @@
   REQUIRE(f.now() - begin >= 1500ms);
 }
 
+// Guards against a job that counts as having waited because the clock of the
+// daemon that accepted it is behind the leader's.
+TEST_CASE("a best-effort job does not starve by the clock of another daemon") {
+  best_effort_fixture f;
+  f.add_serving_worker("w1");
+  f.add_job("f", {best_effort_fixture::best_effort_step("a")});
+  f.plan();
+  f.advance_half_second(20);
+  auto spec = std::make_shared<job_spec>(*scheduler_fixture::make_job(
+      "g", {best_effort_fixture::best_effort_step("b")}));
+  spec->accepted_at = f.wall() - 20'000;
+  f.jobs["g"] = spec;
+  f.tested_scheduler().add_job(spec, f.now(), f.wall());
+  f.plan();
+  f.advance_half_second(20);
+  REQUIRE(f.workers_running("g.0.0.0").empty());
+}
+
 }  // namespace
 }  // namespace vanillaladder::batch
--- a/tests/soak/disturbances.cc
+++ b/tests/soak/disturbances.cc
@@ -124,11 +124,34 @@
   auto kind = draw(random_, 0, 99);
   if (kind < 35) {
     disturb_daemon();
-  } else if (kind < 75) {
+  } else if (kind < 72) {
     disturb_store();
-  } else {
+  } else if (kind < 95) {
     disturb_worker();
+  } else {
+    close_domain();
+  }
+}
+
+/// Takes one of the domains out; the others have room for all work.
+void disturbances::close_domain() {
+  if (is_domain_closed_) {
+    return;
   }
+  is_domain_closed_ = true;
+  closure made;
+  made.domain = "domain-" + std::to_string(draw(random_, 1, 3));
+  note("closing of " + made.domain);
+  auto key = standins::platform::closing_key(made.domain);
+  cluster_->put("operator", key, "{}");
+  made.closed_us = now_us();
+  at(after(1000, 9000), [this, made, key]() mutable {
+    note("opening of " + made.domain);
+    made.opened_us = now_us();
+    cluster_->put("operator", key, "");
+    closures_.push_back(made);
+    is_domain_closed_ = false;
+  });
 }
 
 void disturbances::disturb_daemon() {
--- a/tests/soak/disturbances.h
+++ b/tests/soak/disturbances.h
@@ -30,6 +30,14 @@
   /// @return faults seen meanwhile, such as processes that ended by themselves.
   const std::vector<std::string>& faults() const { return faults_; }
 
+  /// A failure domain that operators took out for a while.
+  struct closure {
+    std::string domain;
+    std::int64_t closed_us = 0;
+    std::int64_t opened_us = 0;
+  };
+  const std::vector<closure>& closures() const { return closures_; }
+
  private:
   using clock = std::chrono::steady_clock;
   using action = std::function<void()>;
@@ -41,6 +49,7 @@
   void disturb_daemon();
   void disturb_store();
   void disturb_worker();
+  void close_domain();
   void at(clock::time_point when, action step) {
     pending_.emplace(when, std::move(step));
   }
@@ -60,6 +69,8 @@
   std::vector<daemon_state> states_;
   std::string log_;
   std::vector<std::string> faults_;
+  std::vector<closure> closures_;
+  bool is_domain_closed_ = false;
 };
 
 }  // namespace vanillaladder::soak
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -21,6 +21,9 @@
 /// with its worker within 0.5 s.
 constexpr std::int64_t cancel_time_us = 3'500'000;
 
+/// The same for a failure domain that operators have closed.
+constexpr std::int64_t closing_time_us = 5'500'000;
+
 /// What workers saw of a job's tasks.
 struct task_events {
   std::vector<json> starts;
@@ -28,6 +31,12 @@
   std::map<std::string, std::int64_t> done;
 };
 
+std::string run_name(const json& event) {
+  auto name = event.at("task").get<std::string>();
+  name += " " + std::to_string(event.at("run").get<std::int64_t>());
+  return name;
+}
+
 std::map<std::string, task_events> events_by_job(
     const std::vector<json>& events) {
   std::map<std::string, task_events> jobs;
@@ -47,7 +56,7 @@
 /// One run of random disturbances beside callers, and what must hold after it.
 class soak {
  public:
-  explicit soak(std::uint64_t seed) : seed_(seed) {}
+  explicit soak(std::uint64_t seed) : seed_(seed), cluster_(make_options()) {}
 
   void run() {
     REQUIRE(cluster_.wait_until_ready());
@@ -74,7 +83,7 @@
       expect(false, fault);
     }
     check_outcomes();
-    check_history();
+    check_history(trouble);
     check_cluster();
     std::cout << "seed " << seed_ << ": " << jobs_.size() << " jobs, "
               << events_.size() << " events, " << broken_.size() << " broken"
@@ -91,6 +100,15 @@
   }
 
  private:
+  /// `VL_SOAK_DAEMONS` sets the number of daemons.
+  static harness::platform_options make_options() {
+    harness::platform_options options;
+    if (const char* text = std::getenv("VL_SOAK_DAEMONS")) {
+      options.daemons = static_cast<std::size_t>(std::atoi(text));
+    }
+    return options;
+  }
+
   void expect(bool holds, const std::string& what) {
     if (!holds) {
       broken_.push_back(what);
@@ -132,14 +150,13 @@
     }
   }
 
-  void check_history() {
+  void check_history(const disturbances& trouble) {
     events_ = cluster_.events();
     auto seen = events_by_job(events_);
     std::set<std::string> late;
     for (const auto& each : events_) {
       if (each.at("event") == "late_order") {
-        late.insert(each.at("task").get<std::string>() + " " +
-                    std::to_string(each.at("run").get<std::int64_t>()));
+        late.insert(run_name(each));
       }
     }
     for (const auto& job : jobs_) {
@@ -148,13 +165,33 @@
       check_cancel(job, events, late);
       check_states(job, events);
     }
+    check_domains(trouble);
     for (const auto& [id, events] : seen) {
       bool is_known = std::ranges::any_of(
-          jobs_, [&](const auto& job) { return job.id == id; });
+          jobs_, [&job_id = id](const auto& job) { return job.id == job_id; });
       expect(is_known || events.starts.empty(), id + " runs, but is no job");
     }
   }
 
+  /// Nothing starts in a domain later than 5 s after its closing.
+  void check_domains(const disturbances& trouble) {
+    for (const auto& each : events_) {
+      if (each.at("event") != "start") {
+        continue;
+      }
+      auto at = each.at("at_us").get<std::int64_t>();
+      for (const auto& closure : trouble.closures()) {
+        expect(each.at("domain") != closure.domain ||
+                   at < closure.closed_us + closing_time_us ||
+                   at > closure.opened_us,
+               each.at("task").get<std::string>() + " was started in " +
+                   closure.domain + " " +
+                   std::to_string((at - closure.closed_us) / 1000) +
+                   " ms after its closing");
+      }
+    }
+  }
+
   /// 429 and 503 mean that the job never runs, unless a later attempt may have
   /// been accepted.
   void check_refusals(const job_history& job, const task_events& events) {
@@ -175,9 +212,8 @@
     }
     for (const auto& start : events.starts) {
       auto task = start.at("task").get<std::string>();
-      auto run = std::to_string(start.at("run").get<std::int64_t>());
       auto passed = start.at("at_us").get<std::int64_t>() - cancelled;
-      expect(passed < cancel_time_us || late.contains(task + " " + run),
+      expect(passed < cancel_time_us || late.contains(run_name(start)),
              task + " was started " + std::to_string(passed / 1000) +
                  " ms after its cancel was acknowledged");
     }
