Count a wait from a restored record only if the task waited then

Callers' tasks that end by themselves could be passed over since: a lasting task that ran at a takeover and ended much later counted as having waited since its record was written, and did not let others start first. Found by reading the change again.

Cause: the time of the restored record was kept until the step's first wait. Change: the first plan drops it for steps of which nothing waits. Evidence: batch_test "a task that was running at a takeover waits with full patience" fails without the change (0 == 1) and passes with it.

--- a/packages/batch/src/scheduler_rank.cc
+++ b/packages/batch/src/scheduler_rank.cc
@@ -20,6 +20,7 @@
       for (auto& step : occurrence.steps) {
         if (step.waiting_tasks == 0 || !is_ready(step)) {
           step.waiting_since.reset();
+          step.restored_record_at = time_point();
           continue;
         }
         note_waiting(step, now);
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -577,6 +577,32 @@
   REQUIRE(f.now() - begin >= 3s);
 }
 
+// Guards against a wait that counts from the time of a restored record although
+// the task ran until now.
+TEST_CASE("a task that was running at a takeover waits with full patience") {
+  scheduler_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  auto lasting = scheduler_fixture::step(1, 4000);
+  lasting.long_running = true;
+  f.add_job("a", {lasting});
+  f.plan();
+  f.take_over({});
+  f.report_all();
+  f.plan();
+  for (int n = 0; n < 20; ++n) {
+    f.advance_time(1s);
+    f.report_all();
+    f.plan();
+  }
+  f.add_job("f", {scheduler_fixture::step(1, 4000)});
+  f.plan();
+  REQUIRE(f.workers_running("a.0.0.0").size() == 1);
+  f.end("a.0.0.0", end_reason::done);
+  f.report_all();
+  f.plan();
+  REQUIRE(f.workers_running("f.0.0.0").size() == 1);
+}
+
 TEST_CASE("a new leader does not start a task that has failed too often") {
   scheduler_fixture f;
   f.add_worker("w1", {4000, 4000, 0});
