--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,6 +3,8 @@
 set -euo pipefail
 packages=(
   g++ cmake ninja-build make ccache clang-format clang-tidy
+  # Headers of the sanitizers, which Abseil includes; clang-tidy reads them.
+  libclang-rt-14-dev
   libwebsockets-dev libthrift-dev libboost-dev libtomlplusplus-dev
   libdocopt-dev liblog4cxx-dev libabsl-dev catch2 libtrompeloeil-cpp-dev
   nlohmann-json3-dev libxxhash-dev librapidcheck-dev spin libhttp-parser-dev
