--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -104,6 +104,7 @@
         job.shows.push_back(call("GET", job, ""));
       }
     }
+    // Callers pause between calls and attempts; no verdict depends on it.
     std::this_thread::sleep_for(
         std::chrono::milliseconds(draw(random_, 10, 120)));
   }
