--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -279,6 +279,7 @@
   /// the first one, and what is left is lent in the second.
   enum class placement_pass { entitled, lent };
   void place(time_point now, std::vector<order>& orders);
+  void begin_round(time_point now);
   bool place_ranked(std::span<const ranked_step> ranked, placement_pass pass,
                     time_point now, std::vector<order>& orders);
   void begin_share_round(std::span<const ranked_step> ranked);
@@ -393,6 +394,9 @@
   /// Number of the current placement round. A round continues in the next plan
   /// if the budget runs out.
   std::int64_t round_ = 0;
+  /// When the round began, and the plans that it has taken.
+  time_point round_began_at_;
+  int round_plans_ = 0;
 };
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -29,6 +29,8 @@
 
 /// Minimum time between two log lines on why a step waits.
 constexpr milliseconds wait_log_interval{2000};
+/// Duration from which on a placement round is logged.
+constexpr milliseconds long_round{1000};
 /// How long a task is not placed on the worker on which it failed last. The
 /// worker may be the only one that can run it, and a task that waits for 3 s
 /// beside free room counts as lost.
@@ -528,14 +530,27 @@
   return placement::examined;
 }
 
+/// Begins a placement round, in which each step is examined once.
+void scheduler::begin_round(time_point now) {
+  auto took = std::chrono::duration_cast<milliseconds>(now - round_began_at_);
+  if (round_plans_ > 1 && took >= long_round) {
+    log_event(absl::StrCat("long_round number=", round_, " ms=", took.count(),
+                           " plans=", round_plans_));
+  }
+  ++round_;
+  round_plans_ = 0;
+  round_began_at_ = now;
+}
+
 void scheduler::place(time_point now, std::vector<order>& orders) {
   if (starts_held_) {
     budget_exhausted_ = false;
     return;
   }
   if (!budget_exhausted_) {
-    ++round_;
+    begin_round(now);
   }
+  ++round_plans_;
   budget_exhausted_ = false;
   begin_look_ahead();
   auto ranked = rank_steps(now);
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -245,7 +245,9 @@
   }
   if (!stopped && announced_epoch == 0 && lease.valid(boot_now())) {
     announced_epoch = lease.epoch();
-    report.event("leadership", absl::StrCat("won epoch=", announced_epoch));
+    report.event("leadership", absl::StrCat("won epoch=", announced_epoch,
+                                            " cpu_millis=", options.cpu_millis,
+                                            " low_capacity=", lease.yields()));
     handlers.on_won(announced_epoch);
   }
 }
