Add failing tests of weak leaders and of long placement rounds

- dispatch_test, schedule_test: a daemon with low capacity that has claimed while no other could leads on for as long as it renews.
- batch_test: a lasting task that is lost after its step was examined is not placed again until the placement round ends, here 20 s; 6 s are allowed.

The case that a weak leader stays while nobody else can lead passes. The fake store now rejects an append whose expected end is not the end of the topic, as the platform's store does; all other cases of dispatch_test pass.

--- /dev/null
+++ b/packages/batch/test/placement_round_test.cc
@@ -0,0 +1,53 @@
+#include <catch2/catch.hpp>
+
+#include "scheduler_fixture.h"
+
+namespace vanillaladder::batch {
+namespace {
+
+/// Jobs that no worker can run. Each takes one plan of one unit, so that a
+/// placement round takes more plans than the tests make.
+constexpr int blocked_jobs = 200;
+/// Time between two plans.
+constexpr milliseconds plan_interval{100};
+/// How soon a task that lasts must run again.
+constexpr milliseconds restart_limit{6000};
+
+struct long_round_fixture : scheduler_fixture {
+  long_round_fixture() {
+    for (int n = 0; n < blocked_jobs; ++n) {
+      auto blocked = step(1, 1000);
+      blocked.required_label = "missing" + std::to_string(n);
+      add_job("blocked" + std::to_string(n), {blocked}, 2);
+    }
+  }
+
+  /// Makes plans that each examine one step.
+  void plan_for(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += plan_interval) {
+      advance_time(plan_interval);
+      report_all();
+      plan(1);
+    }
+  }
+};
+
+}  // namespace
+
+// Guards against a lasting task that does not run for as long as a placement
+// round takes, because its step was examined before the task was lost.
+TEST_CASE("a task that is lost during a placement round is placed in it") {
+  long_round_fixture f;
+  f.add_worker("w1", {4000, 4000, 0});
+  auto lasting = scheduler_fixture::step(1, 1000);
+  lasting.long_running = true;
+  f.add_job("lasting", {lasting});
+  f.plan_for(restart_limit);
+  REQUIRE(f.workers_running("lasting.0.0.0").size() == 1);
+  f.end("lasting.0.0.0", end_reason::lease_expired);
+  f.plan_for(restart_limit);
+  CHECK(f.tested_scheduler().is_budget_exhausted());
+  CHECK(f.workers_running("lasting.0.0.0").size() == 1);
+}
+
+}  // namespace vanillaladder::batch
--- a/packages/dispatch/test/fake_store.h
+++ b/packages/dispatch/test/fake_store.h
@@ -30,6 +30,11 @@
       loop_->post([done] { done(absl::UnknownError("reset")); });
       return;
     }
+    auto current_end = static_cast<model::offset>(topic.size());
+    if (options.expected_end && *options.expected_end != current_end) {
+      loop_->post([done] { done(absl::FailedPreconditionError("end")); });
+      return;
+    }
     topic.insert(topic.end(), records.begin(), records.end());
     auto end = static_cast<model::offset>(topic.size());
     if (drops_answers) {
--- a/packages/dispatch/test/leadership_test.cc
+++ b/packages/dispatch/test/leadership_test.cc
@@ -75,5 +75,75 @@
   REQUIRE(f.store.appends == before + 1);
 }
 
+/// A daemon of a test with several, which share one store.
+struct contender {
+  contender(daemon_fixture& f, const std::string& id, int cpu_millis)
+      : lead(f.loop, f.store, options_of(id, cpu_millis),
+             {[this](model::epoch) { ++won; }, [this] { ++lost; },
+              [this] { return able; }},
+             f.report) {
+    lead.start();
+  }
+
+  static leadership_options options_of(const std::string& id, int cpu_millis) {
+    leadership_options options;
+    options.holder_id = id;
+    options.topic = "keyed.lease";
+    options.cpu_millis = cpu_millis;
+    return options;
+  }
+
+  int won = 0;
+  int lost = 0;
+  bool able = true;
+  leadership lead;
+};
+
+/// Capacities as on the users' instances, in thousandths of a core.
+constexpr int low_cpu_millis = 120;
+constexpr int high_cpu_millis = 500;
+/// Far longer than a claim, a renewal or a hand-over takes.
+constexpr auto long_time = 5s;
+
+/// @return whether `reached` holds before `long_time` has passed.
+bool reaches(daemon_fixture& f, const std::function<bool()>& reached) {
+  bool elapsed = false;
+  f.loop.call_after(long_time, [&] { elapsed = true; });
+  f.run_until([&] { return elapsed || reached(); });
+  return reached();
+}
+
+// Guards against a daemon with low capacity that leads for good, because it
+// claimed while no other daemon could: it can't exchange reports and orders
+// with all workers, so that tasks are lost and wait.
+TEST_CASE("a leader with low capacity hands over to a daemon that has more") {
+  daemon_fixture f;
+  contender weak(f, "weak-1", low_cpu_millis);
+  contender strong(f, "strong-1", high_cpu_millis);
+  strong.able = false;
+  REQUIRE(reaches(f, [&] { return weak.won == 1; }));
+  strong.able = true;
+  bool both_lead = false;
+  REQUIRE(reaches(f, [&] {
+    both_lead = both_lead || (weak.lead.valid() && strong.lead.valid());
+    return strong.won == 1;
+  }));
+  CHECK(weak.lost == 1);
+  CHECK_FALSE(weak.lead.valid());
+  CHECK_FALSE(both_lead);
+}
+
+// Guards against hand-overs to a daemon that could not lead.
+TEST_CASE("a leader with low capacity stays while no other daemon can lead") {
+  daemon_fixture f;
+  contender weak(f, "weak-1", low_cpu_millis);
+  contender other(f, "weak-2", low_cpu_millis);
+  contender strong(f, "strong-1", high_cpu_millis);
+  strong.able = false;
+  REQUIRE(reaches(f, [&] { return weak.won + other.won == 1; }));
+  CHECK_FALSE(reaches(f, [&] { return weak.lost + other.lost > 0; }));
+  CHECK(strong.won == 0);
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
--- a/tests/harness/include/harness/platform_cluster.h
+++ b/tests/harness/include/harness/platform_cluster.h
@@ -20,6 +20,8 @@
   std::size_t domains = 3;
   std::size_t labels = 1;
   std::int64_t worker_cpu_millis = 4000;
+  /// Processor shares of the first daemons; the others have half a core.
+  std::vector<double> processor_shares = {};
   /// Further lines of the section `[limits]` of the daemons' settings.
   std::string extra_limits = {};
 };
@@ -84,6 +86,7 @@
     std::uint16_t store_port = 0;
     std::uint16_t caller_port = 0;
     std::uint16_t ready_port = 0;
+    double processor_share = 0.5;
     std::unique_ptr<child> process;
   };
 
--- a/tests/harness/src/platform_cluster.cc
+++ b/tests/harness/src/platform_cluster.cc
@@ -71,6 +71,9 @@
     auto target = std::make_unique<running_daemon>();
     target->id = "entry-" + std::to_string(n + 1);
     target->store_port = platform_->ports().at(n);
+    if (n < options_.processor_shares.size()) {
+      target->processor_share = options_.processor_shares[n];
+    }
     launch(*target);
     daemons_.push_back(std::move(target));
   }
@@ -99,7 +102,8 @@
         << "metrics = " << endpoint(free_port())
         << "[store]\naddress = " << endpoint(target.store_port)
         << "[workers]\nlongest_lease_ms = 6000\nrun_stop_ms = 50\n"
-        << "[limits]\nstop_ms = 3000\nprocessor_share = 0.5\n"
+        << "[limits]\nstop_ms = 3000\nprocessor_share = "
+        << target.processor_share << "\n"
         << options_.extra_limits;
     target.process = std::make_unique<child>(
         "vanillaladderd",
--- a/tests/schedule/leader_choice_test.cc
+++ b/tests/schedule/leader_choice_test.cc
@@ -35,4 +35,22 @@
   s.check_promises();
 }
 
+// Guards against a daemon with low capacity that leads for good, because it
+// claimed while the others did not reach the store.
+TEST_CASE("a daemon with more processor leads once it reaches the store") {
+  harness::platform_options options;
+  options.processor_shares = {0.5, 0.1, 0.1};
+  scene s(options);
+  s.cluster.set_store({{"outage", "silent"}, {"outage_doors", "0"}});
+  REQUIRE(eventually([&] { return s.cluster.leader().value_or(0) != 0; }));
+  auto lasting_job = s.submit(1, 4, lasting);
+  REQUIRE(s.runs(lasting_job, 4));
+  s.cluster.set_store({{"outage", "none"}});
+  CHECK(eventually([&] { return s.cluster.leader() == 0U; }));
+  s.complete_one();
+  CHECK(s.runs(lasting_job, 4));
+  CHECK(s.cluster.starts_of(lasting_job).size() == 4);
+  s.check_promises();
+}
+
 }  // namespace vanillaladder::schedule
