Place a task again in the placement round in which it was lost

Callers saw lasting tasks that did not run for over 6 s beside free capacity (LOST), under a slow leader.

Cause: a round of placement examines each step once and is spread over many plans when the work budget is spent. A step whose task was lost after that was examined again only in the next round. Class: a decision that is put off until a pass over a backlog ends, whatever its urgency.

Ruled out: that the task found no worker. Its step was not examined at all: no line tells why it waits.

Change: a step that gets a waiting task again rejoins the round, at its place in the order.

A second fault of the class, room that becomes free during a round, has a case that fails and is listed.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -108,6 +108,12 @@
   time_point hold_logged_at;
 
   bool complete() const { return completed_tasks == spec->count; }
+  /// Lets the current placement round examine the step once more. A round may
+  /// take longer than a task may wait.
+  void rejoin_round() {
+    last_round = 0;
+    last_entitled_round = 0;
+  }
   /// Notes that the progress of a task must be stored.
   void mark_dirty(int task) { dirty_parts.insert(progress_part_of(task)); }
   /// @return tasks of a part of the progress.
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -504,6 +504,7 @@
   });
   if (task.is_waiting()) {
     ++step.waiting_tasks;
+    step.rejoin_round();
   }
   step.mark_dirty(index);
   has_changes_ = true;
--- a/packages/batch/test/placement_round_test.cc
+++ b/packages/batch/test/placement_round_test.cc
@@ -10,6 +10,8 @@
 constexpr int blocked_jobs = 200;
 /// Time between two plans.
 constexpr milliseconds plan_interval{100};
+/// How soon a task must run while there is room for it.
+constexpr milliseconds start_limit{3000};
 /// How soon a task that lasts must run again.
 constexpr milliseconds restart_limit{6000};
 
@@ -18,10 +20,18 @@
     for (int n = 0; n < blocked_jobs; ++n) {
       auto blocked = step(1, 1000);
       blocked.required_label = "missing" + std::to_string(n);
-      add_job("blocked" + std::to_string(n), {blocked}, 2);
+      add_job_of_priority("blocked" + std::to_string(n), 1, blocked);
     }
   }
 
+  void add_job_of_priority(const std::string& id, int priority,
+                           const step_spec& only_step) {
+    auto spec = std::make_shared<job_spec>(*make_job(id, {only_step}));
+    spec->policy.priority = priority;
+    spec->accepted_at = wall();
+    tested_scheduler().add_job(spec, now(), wall());
+  }
+
   /// Makes plans that each examine one step.
   void plan_for(milliseconds time) {
     for (milliseconds passed{0}; passed < time; passed += plan_interval) {
@@ -50,4 +60,21 @@
   CHECK(f.workers_running("lasting.0.0.0").size() == 1);
 }
 
+// Guards against a job that waits beside free room for as long as a placement
+// round takes, because it was examined before the room was free.
+TEST_CASE("room that becomes free during a placement round is used in it") {
+  long_round_fixture f;
+  f.add_worker("w1", {1000, 4000, 0});
+  f.add_job_of_priority("holder", 0, scheduler_fixture::step(1, 1000));
+  f.plan_for(5 * plan_interval);
+  REQUIRE(f.workers_running("holder.0.0.0").size() == 1);
+  f.add_job_of_priority("first", 0, scheduler_fixture::step(1, 1000));
+  f.plan_for(5 * plan_interval);
+  REQUIRE(f.workers_running("first.0.0.0").empty());
+  f.end("holder.0.0.0", end_reason::done);
+  f.plan_for(start_limit);
+  CHECK(f.tested_scheduler().is_budget_exhausted());
+  CHECK(f.workers_running("first.0.0.0").size() == 1);
+}
+
 }  // namespace vanillaladder::batch
