Examine waiting steps again while a placement round lasts

Not seen in the record; found by looking for the same cause elsewhere.

Cause: a step that found no worker was not examined again in its round, while steps behind it in the order were, and took the room that became free.

Ruled out: to begin each plan at the first step; a backlog that finds no worker would use up every plan. To examine steps again without a bound: the round might never end.

Change: a step is examined again 1 s after its last examination; such repeats take at most half of a round's work. One call of place_ranked fewer in place.

Evidence: batch_test "room that becomes free during a placement round is used in it" failed 1 of 1 before and passes; 158 cases of batch_test pass.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -102,6 +102,7 @@
   std::int64_t last_round = 0;
   /// The same for the first pass of a round with organisations.
   std::int64_t last_entitled_round = 0;
+  time_point examined_at;
   /// When the reasons why its tasks wait, and room held for them, were last
   /// logged.
   time_point wait_logged_at;
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -280,6 +280,7 @@
   enum class placement_pass { entitled, lent };
   void place(time_point now, std::vector<order>& orders);
   void begin_round(time_point now);
+  bool may_repeat(const step_state& step, time_point now) const;
   bool place_ranked(std::span<const ranked_step> ranked, placement_pass pass,
                     time_point now, std::vector<order>& orders);
   void begin_share_round(std::span<const ranked_step> ranked);
@@ -397,6 +398,10 @@
   /// When the round began, and the plans that it has taken.
   time_point round_began_at_;
   int round_plans_ = 0;
+  /// Work of the round in earlier plans, and that of all plans which went into
+  /// steps that had been examined before.
+  std::int64_t round_units_ = 0;
+  std::int64_t repeat_units_ = 0;
 };
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -29,6 +29,12 @@
 
 /// Minimum time between two log lines on why a step waits.
 constexpr milliseconds wait_log_interval{2000};
+/// A step that found no worker is examined again after this time if its round
+/// has not ended: room may have become free.
+constexpr milliseconds repeat_interval{1000};
+/// One of so many units of a round's work may go into such repeats, so that the
+/// round ends.
+constexpr int units_per_repeat_unit = 2;
 /// Duration from which on a placement round is logged.
 constexpr milliseconds long_round{1000};
 /// How long a task is not placed on the worker on which it failed last. The
@@ -539,6 +545,8 @@
   }
   ++round_;
   round_plans_ = 0;
+  round_units_ = 0;
+  repeat_units_ = 0;
   round_began_at_ = now;
 }
 
@@ -554,15 +562,21 @@
   budget_exhausted_ = false;
   begin_look_ahead();
   auto ranked = rank_steps(now);
-  if (!shares_.enabled()) {
-    budget_exhausted_ =
-        !place_ranked(ranked, placement_pass::lent, now, orders);
-    return;
+  if (shares_.enabled()) {
+    begin_share_round(ranked);
   }
-  begin_share_round(ranked);
   budget_exhausted_ =
-      !place_ranked(ranked, placement_pass::entitled, now, orders) ||
+      (shares_.enabled() &&
+       !place_ranked(ranked, placement_pass::entitled, now, orders)) ||
       !place_ranked(ranked, placement_pass::lent, now, orders);
+  round_units_ += units_spent_;
+}
+
+/// @return whether a step that the current round has examined is examined once
+///   more.
+bool scheduler::may_repeat(const step_state& step, time_point now) const {
+  return now - step.examined_at >= repeat_interval &&
+         units_per_repeat_unit * repeat_units_ < round_units_ + units_spent_;
 }
 
 /// Places the tasks of steps in their order.
@@ -578,12 +592,14 @@
     auto& step = *each.step;
     auto& last_round = pass == placement_pass::lent ? step.last_round
                                                     : step.last_entitled_round;
-    if (last_round == round_) {
+    bool is_repeat = last_round == round_;
+    if (is_repeat && !may_repeat(step, now)) {
       continue;
     }
     if (!has_budget()) {
       return false;
     }
+    step.examined_at = now;
     bool starved = step.spec->best_effort && is_starved(step, now);
     double speed = step.spec->best_effort ? min_speed(step, now) : 0;
     auto found = std::ranges::find_if(unmet, [&](const auto& demand) {
@@ -594,8 +610,13 @@
       log_covered_wait(step, *found->step, now);
       continue;
     }
+    auto spent_before = units_spent_;
     auto result = place_step(step, pass, now, orders);
+    if (is_repeat) {
+      repeat_units_ += units_spent_ - spent_before;
+    }
     if (result == placement::interrupted) {
+      last_round = 0;
       return false;
     }
     last_round = round_;
