Hand the leadership over from an instance with low capacity

Cause: a daemon with low capacity claims 0.5 s later than others, but whoever holds the lease keeps it for as long as renewals succeed, and a renewal is one small call. If the strong daemons can't claim at that moment, a weak one leads for good. Class: who may act is decided once, at the claim; that the holder is unfit while a fit one is there has no consequence afterwards.

Evidence: the record names front-parnu-a-7, a weak instance, as the one that started the tasks which were lost in calm.

Ruled out: that a stronger daemon claims the lease without asking; two leaders would act for up to 1.35 s.

Change: a holder stores its capacity with its claim, under a key of its own. A daemon with over twice of it that can lead asks the holder to hand over; the holder stops acting and releases the lease, which others may then claim at once. The request names the claim that it is addressed to, so that one that is read again has no effect. A holder to which nobody stronger speaks stays.

--- a/packages/dispatch/include/dispatch/leadership.h
+++ b/packages/dispatch/include/dispatch/leadership.h
@@ -37,6 +37,21 @@
 std::string encode(const lease_record& record);
 std::optional<lease_record> decode_lease(std::string_view value);
 
+/// Stored record of a daemon's processor capacity: of the holder, written with
+/// its claim, or of a daemon that asks the holder to hand over.
+struct capacity_record {
+  std::string daemon;
+  /// In thousandths of a core.
+  int cpu_millis = 0;
+  /// Claim of the holder that the record is of or that it is addressed to.
+  model::epoch epoch = 0;
+
+  bool operator==(const capacity_record&) const = default;
+};
+
+std::string encode(const capacity_record& record);
+std::optional<capacity_record> decode_capacity(std::string_view value);
+
 /// Leader election by a lease that is stored in a topic which all daemons read.
 ///
 /// Each record is appended on the condition that the topic ends where its
@@ -60,6 +75,9 @@
   /// A daemon has low capacity if it has less than this fraction of the largest
   /// known capacity.
   static constexpr double low_cpu_share = 0.5;
+  /// Pause between two requests to hand over. A claim and the takeover after
+  /// it take less.
+  static constexpr std::chrono::milliseconds hand_over_request_interval{2000};
   /// How long other daemons wait for the last holder to renew after the store
   /// has become reachable again. A holder retries every 150 to 200 ms.
   static constexpr std::chrono::milliseconds holder_grace_period{400};
@@ -91,6 +109,19 @@
   lease_record prepare_record(model::time_point now);
   /// Gives up the lease; it is never claimed again.
   void resign() { resigned_ = true; }
+  /// Applies the capacity of a holder, which is stored with its claim.
+  void on_holder_capacity(const capacity_record& record);
+  /// Applies a daemon's request that the holder hands over to it. A holder with
+  /// low capacity compared to it stops acting; its next record is a release.
+  /// @return whether this daemon hands over.
+  bool on_hand_over_request(const capacity_record& record,
+                            model::time_point now);
+  /// @return whether this daemon should ask the holder to hand over: the holder
+  ///   has low capacity compared to it, and nobody has asked shortly before.
+  bool may_request_hand_over(model::time_point now) const;
+  /// Prepares a request that the caller sends at `now`.
+  capacity_record prepare_hand_over_request(model::time_point now);
+  bool is_handing_over() const { return handing_over_; }
   /// Called when another component has found a later leader whose record has
   /// not been read yet.
   void on_superseded() { superseded_ = true; }
@@ -107,7 +138,8 @@
   bool yields() const;
   /// @return whether this daemon may act as leader at `now`.
   bool valid(model::time_point now) const {
-    return holds() && !resigned_ && !superseded_ && now < valid_until_;
+    return holds() && !resigned_ && !superseded_ && !handing_over_ &&
+           now < valid_until_;
   }
   model::epoch epoch() const { return epoch_; }
   const std::optional<lease_record>& last_record() const {
@@ -122,12 +154,18 @@
   bool loaded_ = false;
   bool resigned_ = false;
   bool superseded_ = false;
+  bool handing_over_ = false;
   bool store_unreachable_ = false;
   bool reads_fail_ = false;
   model::time_point last_record_at_;
   /// When the last outage of the store ended. The delays that give precedence
   /// to other daemons count from then on.
   model::time_point store_back_at_;
+  /// Capacity of the last holder that has stored one.
+  std::optional<capacity_record> holder_capacity_;
+  model::time_point hand_over_requested_at_;
+  /// Capacity of the daemon that this one hands over to.
+  int successor_cpu_millis_ = 0;
   model::epoch epoch_ = 0;
   std::int64_t sequence_ = 0;
   model::time_point last_sent_at_;
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -19,6 +19,10 @@
 /// Key of the list of lost workers. A record of its own: earlier versions of
 /// the daemon read the lease record only in its own format.
 constexpr std::string_view lost_workers_key = "lost";
+/// Keys of the capacity of the holder and of a request to hand over. Records of
+/// their own for the same reason.
+constexpr std::string_view capacity_key = "capacity";
+constexpr std::string_view hand_over_key = "hand_over";
 /// How often the lease is checked; bounds the delay of a claim.
 constexpr std::chrono::milliseconds check_interval{50};
 /// Renewals that are sent or answered with a larger delay are logged.
@@ -58,11 +62,29 @@
   return record;
 }
 
+std::string encode(const capacity_record& record) {
+  return absl::StrCat(record.daemon, " ", record.cpu_millis, " ", record.epoch);
+}
+
+std::optional<capacity_record> decode_capacity(std::string_view value) {
+  std::vector<std::string> parts =
+      absl::StrSplit(absl::string_view(value.data(), value.size()), ' ');
+  capacity_record record;
+  if (parts.size() != 3 || parts[0].empty() ||
+      !absl::SimpleAtoi(parts[1], &record.cpu_millis) ||
+      !absl::SimpleAtoi(parts[2], &record.epoch) || record.cpu_millis < 0) {
+    return std::nullopt;
+  }
+  record.daemon = std::move(parts[0]);
+  return record;
+}
+
 void leader_lease::on_record(const lease_record& record,
                              model::time_point now) {
   last_record_ = record;
   last_record_at_ = now;
   superseded_ = superseded_ && record.holder == holder_id_;
+  handing_over_ = handing_over_ && holds();
   if (record.holder != holder_id_) {
     return;
   }
@@ -97,9 +119,10 @@
   record.epoch =
       holds() ? epoch_ : (last_record_ ? last_record_->epoch + 1 : 1);
   record.sequence = ++sequence_;
-  record.released = resigned_;
-  record.highest_cpu_millis = std::max(
-      cpu_millis_, last_record_ ? last_record_->highest_cpu_millis : 0);
+  record.released = resigned_ || handing_over_;
+  record.highest_cpu_millis =
+      std::max({cpu_millis_, handing_over_ ? successor_cpu_millis_ : 0,
+                last_record_ ? last_record_->highest_cpu_millis : 0});
   return record;
 }
 
@@ -134,6 +157,40 @@
                       : cpu_millis_ < low_cpu_share * highest;
 }
 
+void leader_lease::on_holder_capacity(const capacity_record& record) {
+  holder_capacity_ = record;
+}
+
+bool leader_lease::on_hand_over_request(const capacity_record& record,
+                                        model::time_point now) {
+  hand_over_requested_at_ = now;
+  // A request that is read again after a reload may be addressed to an earlier
+  // claim.
+  bool is_addressee = valid(now) && record.epoch == epoch_;
+  if (!is_addressee || cpu_millis_ == 0 ||
+      cpu_millis_ >= low_cpu_share * record.cpu_millis) {
+    return false;
+  }
+  handing_over_ = true;
+  successor_cpu_millis_ = record.cpu_millis;
+  return true;
+}
+
+bool leader_lease::may_request_hand_over(model::time_point now) const {
+  if (!loaded_ || resigned_ || store_unreachable_ || reads_fail_ || holds() ||
+      !last_record_ || last_record_->released || !holder_capacity_ ||
+      holder_capacity_->epoch != last_record_->epoch) {
+    return false;
+  }
+  bool is_low = holder_capacity_->cpu_millis < low_cpu_share * cpu_millis_;
+  return is_low && now - hand_over_requested_at_ >= hand_over_request_interval;
+}
+
+capacity_record leader_lease::prepare_hand_over_request(model::time_point now) {
+  hand_over_requested_at_ = now;
+  return {holder_id_, cpu_millis_, last_record_->epoch};
+}
+
 bool leader_lease::holds() const {
   return last_record_ && last_record_->holder == holder_id_ &&
          !last_record_->released;
@@ -156,6 +213,8 @@
                  {[this](auto key, auto value) {
                     if (key == lost_workers_key) {
                       on_lost_workers_read(value);
+                    } else if (key == capacity_key || key == hand_over_key) {
+                      on_capacity_read(key, value);
                     } else {
                       on_record_read(value);
                     }
@@ -172,6 +231,8 @@
 
   void on_record_read(std::string_view value);
   void on_lost_workers_read(std::string_view value);
+  void on_capacity_read(std::string_view key, std::string_view value);
+  void request_hand_over();
   void check();
   void append(std::function<void()> done);
   void finish_append();
@@ -235,6 +296,39 @@
   }
 }
 
+void leadership::impl::on_capacity_read(std::string_view key,
+                                        std::string_view value) {
+  auto record = decode_capacity(value);
+  if (!record) {
+    report.event("leadership",
+                 absl::StrCat("record_unreadable key=", std::string(key)));
+  } else if (key == capacity_key) {
+    lease.on_holder_capacity(*record);
+  } else if (lease.on_hand_over_request(*record, boot_now())) {
+    report.event(
+        "leadership",
+        absl::StrCat("hands_over epoch=", lease.epoch(), " to=", record->daemon,
+                     " cpu_millis=", record->cpu_millis));
+    // Stops acting before the release can be read.
+    announced_epoch = 0;
+    handlers.on_lost();
+    next_append = boot_now();
+  }
+}
+
+/// Asks the holder to hand over. Of several daemons that ask at the same time,
+/// one succeeds.
+void leadership::impl::request_hand_over() {
+  auto request = lease.prepare_hand_over_request(boot_now());
+  report.event("leadership",
+               absl::StrCat("hand_over_requested epoch=", request.epoch));
+  std::vector<batch::topic_record> records = {
+      {std::string(hand_over_key), encode(request)}};
+  // The request is read like any other record.
+  store.append(options.topic, records, {std::nullopt, follower.next()},
+               [](const auto&) {});
+}
+
 /// Reports a gained or lost leadership to the listener.
 void leadership::impl::announce_changes() {
   bool leads = lease.holds() && announced_epoch == lease.epoch();
@@ -280,9 +374,12 @@
     return;
   }
   lease.set_reads_fail(handlers.reads_fail && handlers.reads_fail());
-  if (lease.may_claim(now) && (!handlers.can_lead || handlers.can_lead())) {
+  bool can_lead = !handlers.can_lead || handlers.can_lead();
+  if (lease.may_claim(now) && can_lead) {
     next_append = now + retry_pause;
     append([] {});
+  } else if (lease.may_request_hand_over(now) && can_lead) {
+    request_hand_over();
   }
 }
 
@@ -299,6 +396,12 @@
   if (auto list = lost_workers.prepare_record(std::move(lost), now)) {
     records.push_back({std::string(lost_workers_key), encode(*list)});
   }
+  if (!lease.holds() && options.cpu_millis > 0) {
+    records.push_back(
+        {std::string(capacity_key),
+         encode(capacity_record{options.holder_id, options.cpu_millis,
+                                record.epoch})});
+  }
   records.push_back({std::string(lease_key), encode(record)});
   auto expected_end = follower.next();
   store.append(options.topic, records, {std::nullopt, expected_end},
