Let strong daemons claim first once daemons become able to lead

Cause: a daemon with low capacity waits 0.5 s longer before it claims, counted from the last record or from the end of an outage of the lease's topic. While another topic gets no answer, for example because the store is silent for some topics while all processes start again, nobody is able to lead and the wait runs out. When daemons become able, the first one claims, and most of them are weak.

Ruled out: a longer wait; every outage may be longer.

Change: the wait counts from the time at which the daemon became able to lead, too. A daemon that becomes able later than a weak one has claimed is covered by the hand-over.

Evidence: dispatch_test "daemons with low capacity claim last once daemons are able to lead" failed 1 of 1 before and passes; all 92 cases pass.

--- a/packages/dispatch/include/dispatch/leadership.h
+++ b/packages/dispatch/include/dispatch/leadership.h
@@ -102,6 +102,10 @@
   void on_store_unreachable() { store_unreachable_ = true; }
   /// Called when the topic can be read; ends an outage.
   void on_store_reachable(model::time_point now);
+  /// Sets whether this daemon is able to lead. The delays that give precedence
+  /// to other daemons count from when it became able: what kept it from leading
+  /// may have kept them too.
+  void set_able(bool able, model::time_point now);
   /// Sets whether reads of the topics that a leader needs fail.
   void set_reads_fail(bool fail) { reads_fail_ = fail; }
   /// Prepares a claim, renewal or release that the caller sends at `now`.
@@ -127,8 +131,9 @@
   void on_superseded() { superseded_ = true; }
   bool superseded() const { return superseded_; }
 
-  /// @return whether this daemon should try to claim the lease. A daemon with
-  ///   low processor capacity or failing reads waits longer than the others.
+  /// @return whether this daemon, if able to lead, should try to claim the
+  ///   lease. A daemon with low processor capacity or failing reads waits
+  ///   longer than the others.
   bool may_claim(model::time_point now) const;
   /// @return whether the last record of the topic is a claim or renewal by this
   ///   daemon.
@@ -157,6 +162,8 @@
   bool handing_over_ = false;
   bool store_unreachable_ = false;
   bool reads_fail_ = false;
+  bool able_ = false;
+  model::time_point able_since_;
   model::time_point last_record_at_;
   /// When the last outage of the store ended. The delays that give precedence
   /// to other daemons count from then on.
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -111,6 +111,13 @@
   }
 }
 
+void leader_lease::set_able(bool able, model::time_point now) {
+  if (able && !able_) {
+    able_since_ = now;
+  }
+  able_ = able;
+}
+
 lease_record leader_lease::prepare_record(model::time_point now) {
   last_sent_at_ = now;
   lease_record record;
@@ -143,9 +150,10 @@
   // During an outage of the store the delays of all daemons expire, so they
   // start again when it ends.
   auto since_store_back = now - store_back_at_;
-  return expired && since_store_back >=
-                        claim_delay + (is_free ? std::chrono::milliseconds(0)
-                                               : holder_grace_period);
+  return expired && now - able_since_ >= claim_delay &&
+         since_store_back >=
+             claim_delay +
+                 (is_free ? std::chrono::milliseconds(0) : holder_grace_period);
 }
 
 bool leader_lease::yields() const {
@@ -374,11 +382,12 @@
     return;
   }
   lease.set_reads_fail(handlers.reads_fail && handlers.reads_fail());
-  bool can_lead = !handlers.can_lead || handlers.can_lead();
-  if (lease.may_claim(now) && can_lead) {
+  bool able = !handlers.can_lead || handlers.can_lead();
+  lease.set_able(able, now);
+  if (able && lease.may_claim(now)) {
     next_append = now + retry_pause;
     append([] {});
-  } else if (lease.may_request_hand_over(now) && can_lead) {
+  } else if (able && lease.may_request_hand_over(now)) {
     request_hand_over();
   }
 }
--- a/packages/dispatch/test/leadership_test.cc
+++ b/packages/dispatch/test/leadership_test.cc
@@ -133,6 +133,22 @@
   CHECK_FALSE(both_lead);
 }
 
+// Guards against a precedence that runs out while nobody can lead, for example
+// while the store answers for the lease only: whoever is first would lead.
+TEST_CASE(
+    "daemons with low capacity claim last once daemons are able to lead") {
+  daemon_fixture f;
+  contender weak(f, "weak-1", low_cpu_millis);
+  contender strong(f, "strong-1", high_cpu_millis);
+  weak.able = false;
+  strong.able = false;
+  REQUIRE_FALSE(reaches(f, [&] { return weak.won + strong.won > 0; }));
+  weak.able = true;
+  strong.able = true;
+  REQUIRE(reaches(f, [&] { return weak.won + strong.won > 0; }));
+  CHECK(strong.won == 1);
+}
+
 // Guards against hand-overs to a daemon that could not lead.
 TEST_CASE("a leader with low capacity stays while no other daemon can lead") {
   daemon_fixture f;
