--- a/packages/dispatch/test/leader_lease_test.cc
+++ b/packages/dispatch/test/leader_lease_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <random>
+#include <variant>
 #include <vector>
 
 #include "dispatch/leadership.h"
@@ -176,33 +177,91 @@
   REQUIRE_FALSE(lease.superseded());
 }
 
+TEST_CASE("an encoded capacity is decoded unchanged, others are rejected") {
+  capacity_record record{"entry-1-5", 120, 7};
+  CHECK(decode_capacity(encode(record)) == record);
+  for (const char* text : {"", "a", "a 1", "a b 1", "a -1 1", " 1 1", "a 1 1 1",
+                           "a 99999999999 1"}) {
+    INFO(text);
+    CHECK_FALSE(decode_capacity(text).has_value());
+  }
+}
+
+// Guards against a request that is read again after a reload of the topic and
+// ends a later leadership.
+TEST_CASE("a request to an earlier claim does not end a leadership") {
+  leader_lease lease("a", lifetime, 120);
+  lease.on_loaded(start);
+  lease.on_record(lease.prepare_record(start), start);
+  REQUIRE(lease.valid(start));
+  CHECK_FALSE(lease.on_hand_over_request({"b", 500, 0}, start));
+  CHECK_FALSE(lease.on_hand_over_request({"b", 200, 1}, start));
+  CHECK(lease.valid(start));
+  CHECK(lease.on_hand_over_request({"b", 500, 1}, start));
+  CHECK_FALSE(lease.valid(start));
+  auto release = lease.prepare_record(start);
+  CHECK(release.released);
+  CHECK(release.highest_cpu_millis == 500);
+  lease.on_record(release, start);
+  CHECK_FALSE(lease.is_handing_over());
+  CHECK_FALSE(lease.may_claim(start));
+}
+
 /// Simulates a topic with conditional appends, and daemons that pause, lose
-/// answers and read late.
+/// answers, read late and ask the holder to hand over.
 struct election {
   struct daemon {
-    explicit daemon(const std::string& name) : lease(name, lifetime) {}
+    daemon(const std::string& name, int cpu_millis)
+        : id(name), cpu(cpu_millis), lease(name, lifetime, cpu_millis) {}
 
+    std::string id;
+    int cpu;
     leader_lease lease;
     std::size_t read = 0;
     bool loaded = false;
   };
+  struct hand_over_request {
+    capacity_record record;
+  };
+  using entry = std::variant<lease_record, capacity_record, hand_over_request>;
 
   std::mt19937 random;
-  std::vector<lease_record> topic;
+  std::vector<entry> topic;
   std::vector<daemon> daemons;
   model::time_point now = start;
+  int hand_overs = 0;
 
   explicit election(unsigned seed) : random(seed) {
-    for (const char* name : {"a", "b", "c"}) {
-      daemons.emplace_back(name);
-    }
+    daemons.emplace_back("a", 100);
+    daemons.emplace_back("b", 500);
+    daemons.emplace_back("c", 120);
   }
 
   bool chance(double p) { return std::bernoulli_distribution(p)(random); }
 
+  void apply(daemon& each, const entry& item) {
+    if (const auto* record = std::get_if<lease_record>(&item)) {
+      each.lease.on_record(*record, now);
+    } else if (const auto* capacity = std::get_if<capacity_record>(&item)) {
+      each.lease.on_holder_capacity(*capacity);
+    } else if (each.lease.on_hand_over_request(
+                   std::get<hand_over_request>(item).record, now)) {
+      ++hand_overs;
+    }
+  }
+
   void read(daemon& each) {
     for (; each.read < topic.size(); ++each.read) {
-      each.lease.on_record(topic[each.read], now);
+      apply(each, topic[each.read]);
+    }
+    // A reload after lost history shows the newest request once more.
+    if (chance(0.1)) {
+      auto last = std::find_if(topic.rbegin(), topic.rend(), [](auto& item) {
+        return std::holds_alternative<hand_over_request>(item);
+      });
+      if (last != topic.rend()) {
+        apply(each, *last);
+      }
     }
     if (!each.loaded) {
       each.loaded = true;
@@ -220,16 +279,25 @@
     }
     if (each.loaded && (each.lease.holds() || each.lease.may_claim(now))) {
       auto at = each.read;
+      bool is_claim = !each.lease.holds();
       auto record = each.lease.prepare_record(now);
       // The append is executed after some time, if its condition still holds.
       now += std::chrono::milliseconds(
           std::uniform_int_distribution(1, 200)(random));
       if (!conditional || at == topic.size()) {
-        topic.push_back(record);
+        if (is_claim) {
+          topic.emplace_back(capacity_record{each.id, each.cpu, record.epoch});
+        }
+        topic.emplace_back(record);
       }
       if (chance(0.7)) {
         read(each);
       }
+    } else if (each.loaded && each.lease.may_request_hand_over(now)) {
+      auto request = each.lease.prepare_hand_over_request(now);
+      if (!conditional || each.read == topic.size()) {
+        topic.emplace_back(hand_over_request{request});
+      }
     }
   }
 
@@ -241,6 +309,7 @@
 };
 
 TEST_CASE("two daemons never lead at the same time") {
+  int hand_overs = 0;
   for (unsigned seed = 1; seed <= 200; ++seed) {
     election run(seed);
     model::epoch highest = 0;
@@ -255,7 +324,9 @@
         }
       }
     }
+    hand_overs += run.hand_overs;
   }
+  CHECK(hand_overs > 0);
 }
 
 // Negative control: the previous test must detect a missing condition.
