Send stops and paces before the starts that wait

Cause: a leader sends at most 32 orders per event-loop turn, in the order of their decision. A turn of an instance with 0.12 cores takes 50 to 85 ms, so 380 to 640 orders/s can leave; the backlog grew until a stop waited 5.6 s. Class: a decision that is put off until a pass over a backlog ends, whatever its urgency.

Ruled out: the queue of the kernel or of the link; starts that were dropped had not been written yet. A stop that overtakes its start: the start is dropped when it is due, as a run that is stopped. A pace is ordered only once its start is answered.

Change: starts wait in a queue of their own, which is sent when the other is empty.

--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -7,6 +7,7 @@
 #include <deque>
 #include <iterator>
 #include <utility>
+#include <variant>
 
 #include "batch/job_records.h"
 #include "batch/work_budget.h"
@@ -69,6 +70,9 @@
   void restore_job(const batch::job_directory::entry& job);
   void request_plan();
   batch::commit make_plan();
+  bool has_unsent_orders() const {
+    return !unsent_orders.empty() || !unsent_starts.empty();
+  }
   void queue_orders(std::vector<batch::order> orders);
   void send_next_orders();
   void send_unplanned_orders();
@@ -93,8 +97,11 @@
   model::epoch epoch;
   batch::scheduler scheduler;
   batch::work_budget budget;
-  /// Orders that may be sent now, in sending order.
+  /// Orders that may be sent now, in sending order. Stops and paces are sent
+  /// before starts: cancelled tasks have to end, and tasks beside serving ones
+  /// to slow down, within seconds.
   std::deque<batch::order> unsent_orders;
+  std::deque<batch::order> unsent_starts;
   /// Accumulated parts of an incomplete plan.
   batch::commit partial_plan;
   record_writer progress_writer;
@@ -438,11 +445,12 @@
 }
 
 void leader::impl::queue_orders(std::vector<batch::order> orders) {
-  bool is_sending = !unsent_orders.empty();
-  unsent_orders.insert(unsent_orders.end(),
-                       std::make_move_iterator(orders.begin()),
-                       std::make_move_iterator(orders.end()));
-  if (!is_sending && !unsent_orders.empty()) {
+  bool is_sending = has_unsent_orders();
+  for (auto& order : orders) {
+    bool is_start = std::holds_alternative<batch::start_order>(order);
+    (is_start ? unsent_starts : unsent_orders).push_back(std::move(order));
+  }
+  if (!is_sending && has_unsent_orders()) {
     send_next_orders();
   }
 }
@@ -450,12 +458,12 @@
 /// Sends up to `max_orders_per_turn` orders and defers the rest.
 void leader::impl::send_next_orders() {
   auto timing = send_timer.begin();
-  auto count = std::min(unsent_orders.size(), max_orders_per_turn);
-  for (std::size_t n = 0; n < count; ++n) {
-    links->send(unsent_orders.front());
-    unsent_orders.pop_front();
+  for (std::size_t n = 0; n < max_orders_per_turn && has_unsent_orders(); ++n) {
+    auto& queue = unsent_orders.empty() ? unsent_starts : unsent_orders;
+    links->send(queue.front());
+    queue.pop_front();
   }
-  if (!unsent_orders.empty()) {
+  if (has_unsent_orders()) {
     defer(std::chrono::milliseconds(0), [this] { send_next_orders(); });
   }
 }
--- a/packages/dispatch/test/leader_test.cc
+++ b/packages/dispatch/test/leader_test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
 
 #include "daemon_fixture.h"
 #include "dispatch/clock.h"
@@ -133,5 +135,88 @@
   f.run_until([&] { return calls.starts == 1; });
 }
 
+/// Workers whose starts take the leader as long as on the slowest instances.
+struct slow_gateway : silent_gateway {
+  using silent_gateway::silent_gateway;
+
+  void start(const model::worker_info& worker, const batch::start_order& order,
+             const external::start_permit& permit,
+             std::chrono::milliseconds limit, order_callback done) override {
+    auto until = boot_now() + std::chrono::milliseconds(1);
+    while (boot_now() < until) {
+    }
+    started.push_back(order.task.step.job);
+    silent_gateway::start(worker, order, permit, limit, std::move(done));
+  }
+
+  /// Jobs of the starts, in their order.
+  std::vector<model::job_id> started;
+};
+
+/// A leader with one large worker and a slow connection to it.
+struct slow_leader {
+  daemon_fixture f;
+  gateway_calls calls;
+  start_gate starts{{}, f.report};
+  slow_gateway* gateway = nullptr;
+  std::unique_ptr<leader> lead;
+
+  slow_leader() {
+    calls.answers_reports = true;
+    leader_context context{f.loop,
+                           f.store,
+                           f.jobs,
+                           f.config,
+                           f.follower,
+                           f.report,
+                           [] { return true; },
+                           starts,
+                           [](std::string_view) {}};
+    auto made = std::make_unique<slow_gateway>(calls);
+    gateway = made.get();
+    lead = std::make_unique<leader>(std::move(context), leader_options(),
+                                    std::move(made), 1);
+    batch::worker_entry entry;
+    entry.info.id = "w";
+    entry.info.address = "10.0.0.1";
+    entry.info.port = 8000;
+    entry.info.capacity = {10'000'000, 1'000'000, 0};
+    entry.service = "svc";
+    lead->on_worker(entry);
+    lead->start();
+    f.run_until([&] { return calls.reports > 0; });
+  }
+
+  void add_job(const model::job_id& id, int tasks) {
+    batch::job_spec spec;
+    spec.id = id;
+    spec.queue = "queue";
+    spec.policy.service = "svc";
+    spec.steps.push_back(
+        {.count = tasks, .required_resources = {1000, 100, 0}});
+    f.jobs.apply("j/" + spec.id, encode(spec));
+    lead->on_job(spec.id, batch::job_directory::change::job_added);
+  }
+
+  void cancel_job(const model::job_id& id) {
+    f.jobs.apply("c/" + id, "1");
+    lead->on_job(id, batch::job_directory::change::job_cancelled);
+  }
+};
+
+// Guards against cancelled tasks that run on, and serving tasks that are late,
+// because stops and paces wait behind the starts of a backlog.
+TEST_CASE("a stop is not sent after the starts that wait") {
+  slow_leader s;
+  s.add_job("a", 1);
+  s.f.run_until([&] { return s.calls.starts == 1; });
+  constexpr int backlog = 1000;
+  s.add_job("b", backlog);
+  s.f.run_until([&] { return s.calls.starts > 1; });
+  s.cancel_job("a");
+  s.f.run_until([&] { return s.calls.stops == 1; });
+  CHECK(s.calls.starts < backlog / 4);
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
