Place tasks only while few starts wait to be sent

Callers of urgent work waited behind starts that were decided seconds before, and starts left after the room that they relied on had changed.

Cause: nothing limits how many starts are decided ahead of their sending. Class: a decision that waits for the end of a pass over a backlog, here the sending of earlier decisions.

Ruled out: to hold starts (hold_starts) meanwhile; the round would begin anew each time and never get past steps that find no worker, and tasks that are slowed down would not move. A limit of unanswered starts: starts that were dropped before they were written had waited just as long.

Change: no step is examined while over 128 starts wait; the round goes on once fewer do. A plan starts at most 512 tasks (and the rest of a gang), so that a store with slow appends does not limit a strong leader.

Tests: dispatch_test "the start of an urgent task is not sent after a whole backlog" failed 2 of 2 before (the last of 3001 starts; in its first form, which counted the starts up to the urgent one) and passes. batch_test "a plan starts no more tasks than it may, the next one goes on" is new.

--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -152,10 +153,16 @@
   /// @param units work budget: the number of workers that may be examined; a
   ///   start counts as several. If it runs out, `is_budget_exhausted` returns
   ///   true and the next plan continues with the remaining steps.
-  commit plan(time_point now, unix_ms wall, int units = default_plan_units);
+  /// @param starts number of tasks that may start, a part of the same budget; a
+  ///   gang may exceed it. If 0, no step is examined.
+  /// @return the records to store, and the starts that may be sent then.
+  commit plan(time_point now, unix_ms wall, int units = default_plan_units,
+              std::size_t starts = std::numeric_limits<std::size_t>::max());
   /// @return whether the last plan ran out of budget before it had examined
-  ///   all waiting steps.
-  bool is_budget_exhausted() const { return budget_exhausted_; }
+  ///   all waiting steps. Not if it was not to start anything.
+  bool is_budget_exhausted() const {
+    return budget_exhausted_ && start_limit_ > 0;
+  }
   /// @return work units that the last plan used.
   int units_spent() const { return units_spent_; }
   /// Must be called once the progress part of the commit is stored; its orders
@@ -340,7 +347,9 @@
                         time_point now);
   bool can_run(const worker_state& worker, const step_state& step,
                const task_state& task, time_point now) const;
-  bool has_budget() const { return units_spent_ < unit_limit_; }
+  bool has_budget() const {
+    return units_spent_ < unit_limit_ && starts_made_ < start_limit_;
+  }
   double cost_of(const worker_state& worker, const step_state& step,
                  const task_state& task) const;
 
@@ -389,6 +398,8 @@
   /// Work budget of the current plan, and how much of it is used.
   int unit_limit_ = 0;
   mutable int units_spent_ = 0;
+  std::size_t start_limit_ = 0;
+  std::size_t starts_made_ = 0;
   bool budget_exhausted_ = false;
   /// Number of the last plan.
   std::int64_t plan_number_ = 0;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -688,18 +688,21 @@
   }
 }
 
-commit scheduler::plan(time_point now, unix_ms wall, int units) {
+commit scheduler::plan(time_point now, unix_ms wall, int units,
+                       std::size_t starts) {
   commit out;
   out.plan = ++plan_number_;
   has_changes_ = false;
   unit_limit_ = units;
   units_spent_ = 0;
+  start_limit_ = starts;
+  starts_made_ = 0;
   expire_leases(now);
   forget_departed_workers(now);
   update_utilisation();
   open_due_occurrences(now, wall);
   place(now, out.orders);
-  has_changes_ = has_changes_ || budget_exhausted_;
+  has_changes_ = has_changes_ || is_budget_exhausted();
   for (auto& [id, job] : jobs_) {
     for (auto& occurrence : job->occurrences) {
       for (auto& step : occurrence.steps) {
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -444,6 +444,7 @@
 void scheduler::start(step_state& step, int index, worker_state& worker,
                       int number, time_point now, std::vector<order>& orders) {
   units_spent_ += start_cost_units;
+  ++starts_made_;
   auto& task = step.tasks[static_cast<std::size_t>(index)];
   note_backfill(worker, step, now);
   add_run(step, index, worker, number, now);
@@ -555,6 +556,10 @@
     budget_exhausted_ = false;
     return;
   }
+  // The round continues once tasks may start.
+  if (start_limit_ == 0) {
+    return;
+  }
   if (!budget_exhausted_) {
     begin_round(now);
   }
--- a/packages/batch/test/placement_round_test.cc
+++ b/packages/batch/test/placement_round_test.cc
@@ -77,4 +77,23 @@
   CHECK(f.workers_running("first.0.0.0").size() == 1);
 }
 
+// Guards against starts that wait for their sending, and against rounds that
+// never get past their first steps because they begin anew each time.
+TEST_CASE("a plan starts no more tasks than it may, the next one goes on") {
+  scheduler_fixture f;
+  f.add_worker("w1", {10000, 10000, 0});
+  f.add_job("many", {scheduler_fixture::step(10, 1000)});
+  auto starts_of_plan = [&](std::size_t starts) {
+    return f.tested_scheduler()
+        .plan(f.now(), f.wall(), scheduler::default_plan_units, starts)
+        .orders.size();
+  };
+  CHECK(starts_of_plan(3) == 3);
+  CHECK(f.tested_scheduler().is_budget_exhausted());
+  CHECK(starts_of_plan(0) == 0);
+  CHECK_FALSE(f.tested_scheduler().is_budget_exhausted());
+  CHECK(starts_of_plan(20) == 7);
+  CHECK_FALSE(f.tested_scheduler().is_budget_exhausted());
+}
+
 }  // namespace vanillaladder::batch
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -28,6 +28,12 @@
 /// on the slowest instances and delays the renewal of the lease.
 constexpr std::size_t max_orders_per_turn = 32;
 constexpr std::size_t max_links_per_turn = 64;
+/// No task is placed while more starts wait to be sent: they would leave late,
+/// and urgent tasks behind them. The slowest instances send as many in 0.3 s.
+constexpr std::size_t max_unsent_starts = 128;
+/// Starts of one plan, for the same reason. Enough for 700 starts/s while the
+/// store takes 0.7 s for an append.
+constexpr std::size_t max_starts_per_plan = 512;
 /// How often the states of jobs that ended long ago are removed.
 constexpr std::chrono::seconds sweep_interval{10};
 constexpr std::chrono::seconds organisation_report_interval{1};
@@ -69,6 +75,10 @@
   void restore_jobs();
   void restore_job(const batch::job_directory::entry& job);
   void request_plan();
+  std::size_t allowed_starts() const;
+  bool may_place_again() const {
+    return placement_put_off && allowed_starts() > 0;
+  }
   batch::commit make_plan();
   bool has_unsent_orders() const {
     return !unsent_orders.empty() || !unsent_starts.empty();
@@ -124,6 +134,8 @@
   bool plan_requested = false;
   /// Whether the current plan continues in the next event-loop turn.
   bool plan_incomplete = false;
+  /// Whether the last plan placed nothing, because starts wait to be sent.
+  bool placement_put_off = false;
   bool progress_in_flight = false;
   bool jobs_in_flight = false;
   /// Records of jobs that wait for the append in flight, and the number of the
@@ -435,11 +447,21 @@
   });
 }
 
+/// @return how many tasks may start in the next part of the plan.
+std::size_t leader::impl::allowed_starts() const {
+  auto planned = partial_plan.orders.size();
+  return unsent_starts.size() > max_unsent_starts
+             ? 0
+             : max_starts_per_plan - std::min(planned, max_starts_per_plan);
+}
+
 batch::commit leader::impl::make_plan() {
   auto timing = plan_timer.begin();
   auto now = boot_now();
   scheduler.hold_starts(!context.starts.is_open(now));
-  auto commit = scheduler.plan(now, wall_now(), budget.units());
+  auto starts = allowed_starts();
+  placement_put_off = starts == 0;
+  auto commit = scheduler.plan(now, wall_now(), budget.units(), starts);
   budget.observe(scheduler.units_spent(), boot_now() - now);
   return commit;
 }
@@ -466,6 +488,9 @@
   if (has_unsent_orders()) {
     defer(std::chrono::milliseconds(0), [this] { send_next_orders(); });
   }
+  if (may_place_again()) {
+    request_plan();
+  }
 }
 
 void leader::impl::plan() {
@@ -481,7 +506,7 @@
 void leader::impl::plan_slice() {
   partial_plan.append(make_plan());
   queue_orders(scheduler.take_orders());
-  plan_incomplete = scheduler.is_budget_exhausted() &&
+  plan_incomplete = scheduler.is_budget_exhausted() && allowed_starts() > 0 &&
                     boot_now() - plan_started_at < max_planning_time;
   if (plan_incomplete) {
     defer(std::chrono::milliseconds(0), [this] { plan_slice(); });
@@ -597,7 +622,7 @@
 }
 
 void leader::impl::plan_changes() {
-  if (scheduler.has_changes()) {
+  if (scheduler.has_changes() || may_place_again()) {
     request_plan();
   }
 }
--- a/packages/dispatch/test/leader_test.cc
+++ b/packages/dispatch/test/leader_test.cc
@@ -187,11 +187,12 @@
     f.run_until([&] { return calls.reports > 0; });
   }
 
-  void add_job(const model::job_id& id, int tasks) {
+  void add_job(const model::job_id& id, int tasks, int priority = 0) {
     batch::job_spec spec;
     spec.id = id;
     spec.queue = "queue";
     spec.policy.service = "svc";
+    spec.policy.priority = priority;
     spec.steps.push_back(
         {.count = tasks, .required_resources = {1000, 100, 0}});
     f.jobs.apply("j/" + spec.id, encode(spec));
@@ -218,5 +219,19 @@
   CHECK(s.calls.starts < backlog / 4);
 }
 
+// Guards against starts that leave seconds after they were decided: urgent
+// tasks wait behind them, and their ground may no longer hold on arrival.
+TEST_CASE("the start of an urgent task is not sent after a whole backlog") {
+  slow_leader s;
+  constexpr int backlog = 3000;
+  s.add_job("b", backlog, 1);
+  s.f.run_until([&] { return s.calls.starts > 0; });
+  s.add_job("c", 1);
+  s.f.run_until([&] { return s.calls.starts == backlog + 1; });
+  const auto& started = s.gateway->started;
+  auto urgent = std::ranges::find(started, "c");
+  CHECK(urgent - started.begin() < backlog / 3);
+}
+
 }  // namespace
 }  // namespace vanillaladder::dispatch
