Log the process that a start is meant for, and why runs ended

An end after a restart, a lapse and a worker that was given up are all reason=lease_expired, an end of a run that is no longer known leaves no line, and a start names neither its deadline nor the process that it is meant for.

Change: run_start life=, start_sent deadline_ms= attempt=, worker_lost life= listed_life= lease_ended_ms= last_report_ms=, end_unknown, and the end reasons not_listed and given_up beside lease_expired. No decision depends on the new reasons.

--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -31,6 +31,11 @@
   failed,
   stopped,
   lease_expired,
+  /// The worker answered, but lists the run no longer; usually because it has
+  /// restarted.
+  not_listed,
+  /// The worker did not answer until its lease must have ended.
+  given_up,
   /// Another member of the gang ended.
   gang_broken,
   /// The other members of the gang did not start.
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -450,12 +450,12 @@
   add_run(step, index, worker, number, now);
   step.mark_dirty(index);
   task_key key{step.key, index};
-  log_event(absl::StrCat("run_start task=", to_string(key), " run=", number,
-                         " worker=", worker.entry.info.id,
-                         " room_cpu=", worker.free_resources().cpu_millis,
-                         " room_mib=", worker.free_resources().memory_mib,
-                         " pace=", worker.pace.percent(),
-                         " failures=", task.failures));
+  log_event(absl::StrCat(
+      "run_start task=", to_string(key), " run=", number,
+      " worker=", worker.entry.info.id, " life=", worker.incarnation,
+      " room_cpu=", worker.free_resources().cpu_millis,
+      " room_mib=", worker.free_resources().memory_mib,
+      " pace=", worker.pace.percent(), " failures=", task.failures));
   orders.push_back(start_order{worker.entry.info.id, std::move(key), number,
                                step.job->spec,
                                step.spec->checkpoints ? task.checkpoint : ""});
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -23,6 +23,10 @@
 /// Delay before a task whose start was refused is placed again.
 constexpr milliseconds refusal_retry_delay{200};
 
+milliseconds since(time_point earlier, time_point now) {
+  return std::chrono::duration_cast<milliseconds>(now - earlier);
+}
+
 }  // namespace
 
 std::string_view name_of(end_reason reason) {
@@ -35,6 +39,10 @@
       return "stopped";
     case end_reason::lease_expired:
       return "lease_expired";
+    case end_reason::not_listed:
+      return "not_listed";
+    case end_reason::given_up:
+      return "given_up";
     case end_reason::gang_broken:
       return "gang_broken";
     case end_reason::gang_incomplete:
@@ -304,6 +312,11 @@
   auto& task = step->tasks[static_cast<std::size_t>(end.task.index)];
   auto* run = task.find_run(end.run);
   if (run == nullptr || run->worker != &worker) {
+    log_event(absl::StrCat("end_unknown task=", to_string(end.task),
+                           " run=", end.run, " worker=", worker.entry.info.id,
+                           " reason=", std::string(name_of(end.reason)),
+                           " number=", end.number, " last_run=", task.last_run,
+                           " task_done=", task.done));
     return;
   }
   end_run(*step, end.task.index, end.run, end.reason, end.checkpoint, now);
@@ -349,7 +362,7 @@
     bool is_reported = std::ranges::find(reported, ref) != reported.end();
     if (!is_reported && run->is_answered &&
         run->answered_at < report.requested_at) {
-      end_run(*ref.step, ref.index, ref.number, end_reason::lease_expired, "",
+      end_run(*ref.step, ref.index, ref.number, end_reason::not_listed, "",
               report.received_at);
     }
   }
@@ -465,11 +478,14 @@
 void scheduler::end_lost_runs(const worker_state& worker,
                               std::span<const detail::run_ref> lost,
                               std::string_view why, time_point now) {
-  log_event(absl::StrCat("worker_lost id=", worker.entry.info.id,
-                         " runs=", lost.size(), " why=", std::string(why)));
+  log_event(absl::StrCat(
+      "worker_lost id=", worker.entry.info.id, " runs=", lost.size(),
+      " why=", std::string(why), " life=", worker.incarnation,
+      " listed_life=", worker.entry.incarnation,
+      " lease_ended_ms=", since(worker.lease.expires_at(), now).count(),
+      " last_report_ms=", since(worker.reported_at, now).count()));
   for (const auto& ref : lost) {
-    end_run(*ref.step, ref.index, ref.number, end_reason::lease_expired, "",
-            now);
+    end_run(*ref.step, ref.index, ref.number, end_reason::given_up, "", now);
   }
 }
 
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -332,6 +332,11 @@
     hold_start(order, attempt, maybe_sent);
     return;
   }
+  report.routine(
+      "links",
+      absl::StrCat("start_sent task=", batch::to_string(order.task),
+                   " run=", order.run, " worker=", order.worker,
+                   " deadline_ms=", deadline.count(), " attempt=", attempt));
   external::start_permit start{permit(), deadline};
   start.call.may_send = [self = shared_from_this(), order] {
     return !self->stopped && self->may_order() && self->may_start() &&
