Apply the ends of runs that were given up

Callers saw a task run again after it had been done (TWICE): a worker was cut off, its runs were given up, and its first report after the cut listed their ends. They were dropped, since the runs were no longer known, and then confirmed to the worker, which forgot them.

Cause: an end counted only while its run was known, but was confirmed in any case. Class: a confirmation of something that was not applied.

Ruled out: that no report lists the end before the task starts again.

Change: an end "done" completes its task, and stops a run that has started since. An end "failed" counts as an attempt if this leader gave the run up; a report may repeat it to a successor, which doesn't know whether it was counted. The same for gangs, of which one end stands for all members. Copies of a task don't exist.

Conclusion: what a worker has reported is applied before it is confirmed. A failed end that only a successor sees is still dropped.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -67,6 +67,8 @@
   int failures = 0;
   std::string checkpoint;
   std::vector<run_state> runs;
+  /// Runs whose workers were given up; their ends may still be reported.
+  std::vector<int> given_up_runs;
   model::worker_id last_failed_worker;
   time_point last_failed_at;
   time_point not_before;
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -231,6 +231,10 @@
   void remove_run(step_state& step, int index, int number);
   void end_run(step_state& step, int index, int number, end_reason reason,
                std::string_view checkpoint, time_point now);
+  void record_outcome(step_state& step, int index, worker_state& worker,
+                      end_reason reason, time_point now);
+  void apply_late_end(worker_state& worker, step_state& step,
+                      const reported_end& end, time_point now);
   void complete_task(step_state& step, int index, time_point now);
   void complete_gang(step_state& step, time_point now);
   void set_deadlines(job_entry& job, time_point arrival) const;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -537,6 +537,16 @@
     task.checkpoint = std::string(checkpoint);
   }
   remove_run(step, index, number);
+  if (reason == end_reason::given_up && !step.spec->long_running) {
+    task.given_up_runs.push_back(number);
+  }
+  record_outcome(step, index, worker, reason, now);
+}
+
+/// Applies what an end tells of its task.
+void scheduler::record_outcome(step_state& step, int index,
+                               worker_state& worker, end_reason reason,
+                               time_point now) {
   if (reason == end_reason::done && !step.spec->long_running) {
     worker.trust.on_task_done();
     complete_task(step, index, now);
@@ -553,6 +563,29 @@
   }
 }
 
+/// Applies the end of a run that is no longer known. Its worker may forget the
+/// end, so that what it tells must be stored.
+void scheduler::apply_late_end(worker_state& worker, step_state& step,
+                               const reported_end& end, time_point now) {
+  auto& task = step.tasks[static_cast<std::size_t>(end.task.index)];
+  log_event(absl::StrCat("end_unknown task=", to_string(end.task),
+                         " run=", end.run, " worker=", worker.entry.info.id,
+                         " reason=", std::string(name_of(end.reason)),
+                         " number=", end.number, " last_run=", task.last_run,
+                         " task_done=", task.done));
+  bool was_given_up = std::erase(task.given_up_runs, end.run) > 0;
+  // A failure counts once: an earlier leader may have stored it. Being done
+  // does not depend on how often it is reported.
+  bool is_outcome = end.reason == end_reason::done
+                        ? !task.done && end.run <= task.last_run
+                        : end.reason == end_reason::failed && was_given_up;
+  if (is_outcome) {
+    mark_begun(*step.job);
+    step.mark_dirty(end.task.index);
+    record_outcome(step, end.task.index, worker, end.reason, now);
+  }
+}
+
 /// Marks a task as done and stops its remaining runs.
 void scheduler::complete_task(step_state& step, int index, time_point now) {
   auto& task = step.tasks[static_cast<std::size_t>(index)];
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -312,11 +312,7 @@
   auto& task = step->tasks[static_cast<std::size_t>(end.task.index)];
   auto* run = task.find_run(end.run);
   if (run == nullptr || run->worker != &worker) {
-    log_event(absl::StrCat("end_unknown task=", to_string(end.task),
-                           " run=", end.run, " worker=", worker.entry.info.id,
-                           " reason=", std::string(name_of(end.reason)),
-                           " number=", end.number, " last_run=", task.last_run,
-                           " task_done=", task.done));
+    apply_late_end(worker, *step, end, now);
     return;
   }
   end_run(*step, end.task.index, end.run, end.reason, end.checkpoint, now);
