Fence the calls to an earlier process of a worker

Cause: the fencing token of a call named the leader. A process that has just started has seen no token and accepts them all, before and after its first answer to the leader. Class: a permission that holds for an id, not for the process that it was meant for.

Ruled out: that the header with the worker's id tells processes apart; it names the id only.

Change: a token is the leader's epoch and a number that rises whenever the worker may have restarted (link lost, report failed, later process listed or found). The request under the new token carries no lease and confirms no end. Its answer proves that no earlier call takes effect later. A process that is found by any other request is asked again before its report counts, and no start is sent until a request has been answered. A worker that rejects an earlier token of the same leader has not seen a later leader; the order is sent again.

Conclusion: after the first contact with a process nothing meant for an earlier one reaches it. Until then it may; the bound on its lease follows.

--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -117,6 +117,13 @@
   /// lease expires.
   void remove_worker(const model::worker_id& id, time_point now);
   void on_report(const model::worker_id& id, const worker_report& report);
+  /// @return whether a process with this start time is not the one that
+  ///   reported last.
+  bool is_other_process(const model::worker_id& id, unix_ms incarnation) const;
+  /// Handles that a worker has another process than the one that reported last,
+  /// before its first report counts. Nothing is ordered by the earlier clock.
+  void on_restart_noticed(const model::worker_id& id, unix_ms incarnation,
+                          time_point now);
   void on_unreachable(const model::worker_id& id, time_point now);
   /// Records that a lease until `deadline` on the worker's clock was sent.
   /// @param may_arrive_until when the call is answered or given up at the
@@ -278,6 +285,7 @@
   void move_throttled(step_state& step, int index, run_state& run,
                       time_point now);
   void observe_clock(worker_state& worker, const worker_report& report);
+  static void expect_restart(worker_state& worker, time_point now);
   static bool replaces(const worker_state& successor,
                        const worker_state& worker);
   void end_runs_of_replaced(worker_state& worker, time_point now);
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -99,9 +99,7 @@
     log_event(absl::StrCat("worker_listed_restarted id=", entry.info.id,
                            " life=", entry.incarnation,
                            " before=", worker->incarnation));
-    worker->lease.forget_clock();
-    worker->reachable = false;
-    worker->restart_listed_at = now;
+    expect_restart(*worker, now);
   }
   if (leaving && !was_leaving) {
     drain_worker(*worker, now);
@@ -109,6 +107,31 @@
   has_changes_ = true;
 }
 
+/// Stops orders by the clock of the worker's earlier process.
+void scheduler::expect_restart(worker_state& worker, time_point now) {
+  worker.lease.forget_clock();
+  worker.reachable = false;
+  worker.restart_listed_at = now;
+}
+
+bool scheduler::is_other_process(const model::worker_id& id,
+                                 unix_ms incarnation) const {
+  const auto* worker = find_worker(id);
+  return worker != nullptr && worker->incarnation != 0 &&
+         worker->incarnation != incarnation;
+}
+
+void scheduler::on_restart_noticed(const model::worker_id& id,
+                                   unix_ms incarnation, time_point now) {
+  auto* worker = find_worker(id);
+  if (worker == nullptr || !worker->lease.clock_known()) {
+    return;
+  }
+  log_event(absl::StrCat("worker_answered_restarted id=", id, " life=",
+                         incarnation, " before=", worker->incarnation));
+  expect_restart(*worker, now);
+}
+
 /// @return whether `successor` has started later than `worker` at its address
 ///   and has answered there under its own id. An entry alone proves nothing:
 ///   another writer may name any address.
--- a/packages/dispatch/include/dispatch/worker_links.h
+++ b/packages/dispatch/include/dispatch/worker_links.h
@@ -66,9 +66,9 @@
     std::function<void()> on_superseded;
   };
 
-  /// @param token fencing token of this leader.
+  /// @param epoch number of this leader, which its fencing tokens carry.
   worker_links(http::event_loop& loop, external::worker_gateway& gateway,
-               batch::scheduler& scheduler, model::epoch token,
+               batch::scheduler& scheduler, model::epoch epoch,
                const link_options& options, link_permissions permissions,
                listener handlers, reporter report);
   ~worker_links();
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -10,6 +10,7 @@
 
 #include "batch/lease_bound.h"
 #include "dispatch/clock.h"
+#include "dispatch/fencing_token.h"
 #include "dispatch/work_timer.h"
 #include "runtime/error.h"
 
@@ -77,19 +78,23 @@
   int failures = 0;
   /// Whether the worker has reported since the link was added.
   bool has_reported = false;
+  fencing_token token;
+  /// Whether a call that must not take effect on another process may have been
+  /// sent under this token.
+  bool is_token_used = true;
 };
 
 }  // namespace
 
 struct worker_links::impl : std::enable_shared_from_this<worker_links::impl> {
   impl(http::event_loop& loop_in, external::worker_gateway& gateway_in,
-       batch::scheduler& scheduler_in, model::epoch token_in,
+       batch::scheduler& scheduler_in, model::epoch epoch_in,
        const link_options& options_in, link_permissions permissions_in,
        listener handlers_in, reporter report_in)
       : loop(loop_in),
         gateway(gateway_in),
         scheduler(scheduler_in),
-        token(token_in),
+        epoch(epoch_in),
         options(options_in),
         may_order(std::move(permissions_in.may_order)),
         may_start(std::move(permissions_in.may_start)),
@@ -102,11 +107,18 @@
   void request_report_after(const model::worker_id& id,
                             std::chrono::milliseconds pause);
   void request_delayed_reports();
-  void handle_report(const model::worker_id& id,
+  void handle_report(const model::worker_id& id, fencing_token token,
+                     bool was_verified,
                      absl::StatusOr<batch::worker_report> answer);
   std::chrono::milliseconds extend_lease(const model::worker_id& id,
                                          std::chrono::milliseconds timeout);
 
+  bool is_verified(const model::worker_id& id, const link& link) const;
+  void raise_token(const model::worker_id& id, link& link);
+  bool is_current(const model::worker_id& id, fencing_token token) const;
+  order_answer check_fence(const model::worker_id& id, fencing_token token,
+                           order_answer answer);
+
   void send_start(const batch::start_order& order, int attempt,
                   bool maybe_sent);
   void hold_start(const batch::start_order& order, int attempt,
@@ -122,12 +134,17 @@
                          model::time_point until);
   void defer(std::chrono::milliseconds pause, std::function<void()> step);
   void count(std::string_view order_kind, order_answer answer);
-  external::call_permit permit() const { return {token, may_order}; }
+  /// @return the permission of a call that must not take effect on a later
+  ///   process of the worker.
+  external::call_permit permit(link& link) const {
+    link.is_token_used = true;
+    return {link.token.value(), may_order};
+  }
 
   http::event_loop& loop;
   external::worker_gateway& gateway;
   batch::scheduler& scheduler;
-  model::epoch token;
+  model::epoch epoch;
   link_options options;
   std::function<bool()> may_order;
   std::function<bool()> may_start;
@@ -136,6 +153,8 @@
   reporter report;
   work_timer report_timer;
   absl::flat_hash_map<std::string, link> links;
+  /// Sequence number of each worker's last token; outlives its links.
+  absl::flat_hash_map<std::string, model::epoch> token_sequences;
   /// Workers whose next report is delayed until their ends are stored.
   std::vector<model::worker_id> delayed_reports;
   bool is_requesting_delayed = false;
@@ -177,6 +196,53 @@
   return deadline;
 }
 
+/// @return whether the process of the last report has answered the last
+///   request, and the list of workers names no later one.
+bool worker_links::impl::is_verified(const model::worker_id& id,
+                                     const link& link) const {
+  const auto* lease = scheduler.lease_of(id);
+  return link.has_reported && link.failures == 0 && lease != nullptr &&
+         lease->clock_known();
+}
+
+/// Gives the link a token above all calls that were sent to its worker. An
+/// answer under it proves that none of these takes effect later, also if they
+/// were meant for an earlier process.
+void worker_links::impl::raise_token(const model::worker_id& id, link& link) {
+  if (!link.is_token_used) {
+    return;
+  }
+  auto& sequence = token_sequences[id];
+  if (sequence == fencing_token::max_sequence) {
+    report.event("links", absl::StrCat("tokens_used_up worker=", id));
+    handlers.on_superseded();
+    return;
+  }
+  link.token = fencing_token(epoch, ++sequence);
+  link.is_token_used = false;
+}
+
+bool worker_links::impl::is_current(const model::worker_id& id,
+                                    fencing_token token) const {
+  auto found = links.find(id);
+  return found != links.end() && found->second.token == token;
+}
+
+/// A worker that rejects the current token has seen a later leader. One that
+/// rejects an earlier token has seen the current one.
+order_answer worker_links::impl::check_fence(const model::worker_id& id,
+                                             fencing_token token,
+                                             order_answer answer) {
+  if (answer != order_answer::fenced) {
+    return answer;
+  }
+  if (is_current(id, token)) {
+    handlers.on_superseded();
+    return answer;
+  }
+  return order_answer::not_sent;
+}
+
 void worker_links::impl::request_report_after(const model::worker_id& id,
                                               std::chrono::milliseconds pause) {
   auto found = links.find(id);
@@ -238,26 +304,27 @@
   auto& link = found->second;
   link.report_in_flight = true;
   external::report_request request;
-  request.permit = permit();
   auto wait = scheduler.needs_frequent_reports(id)
                   ? options.sensitive_report_wait
                   : options.report_wait;
   // The lease of a worker that does not answer must expire. One that has not
   // reported on this link, or did not answer, may have restarted: its clock and
   // its numbers of ends may have started anew.
-  if (link.has_reported && link.failures == 0) {
+  bool verified = is_verified(id, link);
+  if (verified) {
+    request.permit = permit(link);
     request.deadline = extend_lease(id, wait + options.answer_limit);
     request.stored_end = scheduler.last_stored_end(id);
-  }
-  if (request.deadline.count() > 0) {
-    request.wait = wait;
-  } else if (link.has_reported && link.failures == 0) {
-    // No lease may be ordered until the next renewal of the leadership.
-    request.wait = options.retry_pause;
+    // Without a deadline no lease may be ordered until the next renewal of the
+    // leadership.
+    request.wait = request.deadline.count() > 0 ? wait : options.retry_pause;
+  } else {
+    raise_token(id, link);
+    request.permit = {link.token.value(), may_order};
   }
   auto sent = boot_now();
   gateway.report(link.entry.info, request, request.wait + options.answer_limit,
-                 [self = shared_from_this(), id,
+                 [self = shared_from_this(), id, token = link.token, verified,
                   sent](absl::StatusOr<batch::worker_report> answer) {
                    if (self->stopped) {
                      return;
@@ -266,12 +333,14 @@
                      answer->requested_at = sent;
                      answer->received_at = boot_now();
                    }
-                   self->handle_report(id, std::move(answer));
+                   self->handle_report(id, token, verified, std::move(answer));
                  });
 }
 
+/// @param was_verified whether the process was known when it was asked.
 void worker_links::impl::handle_report(
-    const model::worker_id& id, absl::StatusOr<batch::worker_report> answer) {
+    const model::worker_id& id, fencing_token token, bool was_verified,
+    absl::StatusOr<batch::worker_report> answer) {
   auto timing = report_timer.begin();
   auto found = links.find(id);
   if (found == links.end()) {
@@ -279,7 +348,7 @@
   }
   auto& link = found->second;
   link.report_in_flight = false;
-  if (absl::IsAborted(answer.status())) {
+  if (absl::IsAborted(answer.status()) && is_current(id, token)) {
     handlers.on_superseded();
     return;
   }
@@ -295,6 +364,12 @@
   }
   link.failures = 0;
   link.has_reported = true;
+  if (was_verified && scheduler.is_other_process(id, answer->incarnation)) {
+    // Calls to its predecessor may still take effect on it.
+    scheduler.on_restart_noticed(id, answer->incarnation, boot_now());
+    request_report(id);
+    return;
+  }
   // A report may lead to a stop of a run that would continue elsewhere.
   scheduler.hold_starts(!may_start());
   scheduler.on_report(id, *answer);
@@ -326,6 +401,12 @@
     hold_start(order, attempt, maybe_sent);
     return;
   }
+  auto& link = found->second;
+  if (!is_verified(order.worker, link)) {
+    // Another process would start it.
+    hold_start(order, attempt, maybe_sent);
+    return;
+  }
   auto deadline = extend_lease(order.worker, options.answer_limit);
   if (deadline.count() == 0) {
     // A run without a lease would end at once.
@@ -337,24 +418,25 @@
       absl::StrCat("start_sent task=", batch::to_string(order.task),
                    " run=", order.run, " worker=", order.worker,
                    " deadline_ms=", deadline.count(), " attempt=", attempt));
-  external::start_permit start{permit(), deadline};
-  start.call.may_send = [self = shared_from_this(), order] {
+  external::start_permit start{permit(link), deadline};
+  start.call.may_send = [self = shared_from_this(), order, token = link.token] {
     return !self->stopped && self->may_order() && self->may_start() &&
+           self->is_current(order.worker, token) &&
            self->scheduler.start_obstacle(order, boot_now()).empty();
   };
   gateway.start(
-      found->second.entry.info, order, start, options.answer_limit,
-      [self = shared_from_this(), order, attempt,
-       maybe_sent](order_answer answer) {
+      link.entry.info, order, start, options.answer_limit,
+      [self = shared_from_this(), order, attempt, maybe_sent,
+       token = link.token](order_answer answer) {
         if (self->stopped) {
           return;
         }
         self->count("starts", answer);
+        answer = self->check_fence(order.worker, token, answer);
         using batch::start_outcome;
         auto outcome = start_outcome::not_run;
         switch (answer) {
           case order_answer::fenced:
-            self->handlers.on_superseded();
             return;
           case order_answer::done:
           // The run exists already; the next report shows its state.
@@ -456,15 +538,19 @@
     defer(options.retry_pause, [this, order] { send_stop(order); });
     return;
   }
-  gateway.stop(found->second.entry.info, order, permit(), options.answer_limit,
-               [self = shared_from_this(), order](order_answer answer) {
+  auto& link = found->second;
+  gateway.stop(link.entry.info, order, permit(link), options.answer_limit,
+               [self = shared_from_this(), order,
+                token = link.token](order_answer answer) {
                  if (self->stopped) {
                    return;
                  }
                  self->count("stops", answer);
+                 answer = self->check_fence(order.worker, token, answer);
                  if (answer == order_answer::fenced) {
-                   self->handlers.on_superseded();
-                 } else if (answer == order_answer::done) {
+                   return;
+                 }
+                 if (answer == order_answer::done) {
                    self->scheduler.on_stop_answered(order.worker, order.task,
                                                     order.run, boot_now());
                  } else {
@@ -483,10 +569,13 @@
   auto& calls = paces[run_name(order)];
   calls.overlap = calls.overlap || calls.in_flight > 0;
   ++calls.in_flight;
-  gateway.pace(found->second.entry.info, order, permit(), options.answer_limit,
-               [self = shared_from_this(), order](order_answer answer) {
+  auto& link = found->second;
+  gateway.pace(link.entry.info, order, permit(link), options.answer_limit,
+               [self = shared_from_this(), order,
+                token = link.token](order_answer answer) {
                  if (!self->stopped) {
-                   self->on_pace_answered(order, answer);
+                   self->on_pace_answered(
+                       order, self->check_fence(order.worker, token, answer));
                  }
                });
 }
@@ -495,7 +584,6 @@
                                           order_answer answer) {
   count("paces", answer);
   if (answer == order_answer::fenced) {
-    handlers.on_superseded();
     return;
   }
   if (answer == order_answer::done) {
@@ -541,11 +629,11 @@
 
 worker_links::worker_links(http::event_loop& loop,
                            external::worker_gateway& gateway,
-                           batch::scheduler& scheduler, model::epoch token,
+                           batch::scheduler& scheduler, model::epoch epoch,
                            const link_options& options,
                            link_permissions permissions, listener handlers,
                            reporter report)
-    : impl_(std::make_shared<impl>(loop, gateway, scheduler, token, options,
+    : impl_(std::make_shared<impl>(loop, gateway, scheduler, epoch, options,
                                    std::move(permissions), std::move(handlers),
                                    report)) {}
 
