Count on the lease of a later process before it has answered

The bound grew to that only when the later process answered. While it was cut off, the leader counted on the order's deadline, although the list of workers had told it of the restart; so did a successor, which has the list. Class: a bound for the process that an order was meant for, applied to the one that executes it.

Ruled out: a worker that runs on past its lease.

Change: once a later process is listed, a run that no process has listed in a report is taken to run until the last order that may reach that process has brought it the longest lease; an order without a response may do so for 13 s more. A run that was listed ends with the process that listed it, so that the wait after an ordinary loss stays as it is. A successor does the same for runs whose record names an earlier process than the list, and takes over the bound of the leader before it, also if it is longer than its own. A run found on another process than the record names is stored again.

"a later process may hold the longest lease from the last order on" tests the bound alone.

Conclusion: both the sender of an order and its successor wait for it. A later process that isn't listed before the wait ends isn't counted.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -33,7 +33,11 @@
 struct run_state {
   int number = 0;
   worker_state* worker = nullptr;
+  /// Process that the start was meant for or, once `is_listed`, that runs it.
   unix_ms incarnation = 0;
+  /// Whether a process has listed the run in a report to this leader. Until
+  /// then, a later process may have executed the start.
+  bool is_listed = false;
   run_phase phase = run_phase::starting;
   /// When the start or, in phase `stopping`, the stop was ordered.
   time_point ordered_at;
--- a/packages/batch/include/batch/lease_bound.h
+++ b/packages/batch/include/batch/lease_bound.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "batch/job.h"
 
 namespace vanillaladder::batch {
@@ -30,9 +32,15 @@
   ///   latest; it may reach a process that has started on the worker until
   ///   then.
   void extend(milliseconds deadline, time_point may_arrive_until);
-  /// Marks the clock as unknown until the next response, as the worker is said
-  /// to have restarted. Leases granted before still count.
-  void forget_clock() { clock_known_ = false; }
+  /// Records that a lease order got no response.
+  /// @param may_act_until when the order takes effect at the latest; until
+  ///   then, a process that has started on the worker may execute it.
+  void extend_unanswered(time_point may_act_until);
+  /// Marks the clock as unknown until the next response, as a later process is
+  /// said to have started on the worker. Leases granted before still count.
+  /// @param longest the longest lease that a worker grants; the later process
+  ///   takes a deadline by the clock of its predecessor for it.
+  void expect_restart(milliseconds longest);
   /// Records the first response of a restarted worker, which holds no lease of
   /// before. An order sent before it was known may have reached it with a
   /// deadline by the clock of its predecessor, which is usually so far ahead
@@ -49,8 +57,14 @@
   /// @return the worker's clock at `now`, assuming that it runs at the same
   ///   rate as the local clock.
   milliseconds clock_at(time_point now) const;
-  /// @return the time after which no lease on the worker is valid.
+  /// @return the time after which no lease on the worker is valid. A later
+  ///   process that is expected, but has not answered, counts from
+  ///   `later_process_expires_at` on.
   time_point expires_at() const { return expires_at_; }
+  /// @return the time after which no lease is valid on the worker, whether its
+  ///   process is the one that answered last or a later one that has got orders
+  ///   meant for it.
+  time_point later_process_expires_at() const;
 
  private:
   static milliseconds longest_duration(milliseconds on_worker_clock);
@@ -64,6 +78,10 @@
   milliseconds deadline_{0};
   time_point expires_at_;
   time_point may_arrive_until_;
+  /// The same for orders without a response.
+  time_point may_act_until_;
+  /// Longest lease of a later process, if one is expected.
+  std::optional<milliseconds> longest_of_later_process_;
   time_point settled_at_;
 };
 
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -48,6 +48,8 @@
   milliseconds early_start{100};
   /// Time that a run loses when it is stopped and resumed on another worker.
   milliseconds move_cost{800};
+  /// How long a call to a worker may take effect after it was given up.
+  milliseconds late_call_limit{13000};
   /// Whether room is held for tasks that wait by the expected ends of runs.
   bool look_ahead = false;
 };
@@ -130,6 +132,8 @@
   ///   latest.
   void on_lease_ordered(const model::worker_id& id, milliseconds deadline,
                         time_point may_arrive_until);
+  /// Records that a call that carried a lease got no response.
+  void on_lease_unanswered(const model::worker_id& id, time_point now);
   void on_start_result(const model::worker_id& id, const task_key& task,
                        int run, start_outcome outcome, time_point now);
   void on_pace_delivered(const task_key& task, int run, int percent);
@@ -285,7 +289,10 @@
   void move_throttled(step_state& step, int index, run_state& run,
                       time_point now);
   void observe_clock(worker_state& worker, const worker_report& report);
-  static void expect_restart(worker_state& worker, time_point now);
+  void expect_restart(worker_state& worker, time_point now) const;
+  static bool is_started_after_runs(const worker_state& worker);
+  static time_point lease_end_of(const worker_state& worker,
+                                 const run_state& run);
   static bool replaces(const worker_state& successor,
                        const worker_state& worker);
   void end_runs_of_replaced(worker_state& worker, time_point now);
--- a/packages/batch/src/lease_bound.cc
+++ b/packages/batch/src/lease_bound.cc
@@ -19,6 +19,7 @@
   }
   deadline_known_ = true;
   clock_known_ = true;
+  longest_of_later_process_.reset();
   clock_ = clock;
   clock_read_at_ = received;
   update();
@@ -30,6 +31,24 @@
   update();
 }
 
+void lease_bound::extend_unanswered(time_point may_act_until) {
+  may_act_until_ = std::max(may_act_until_, may_act_until);
+}
+
+void lease_bound::expect_restart(milliseconds longest) {
+  clock_known_ = false;
+  longest_of_later_process_ = longest;
+}
+
+time_point lease_bound::later_process_expires_at() const {
+  if (!longest_of_later_process_) {
+    return expires_at_;
+  }
+  return std::max(expires_at_,
+                  std::max(may_arrive_until_, may_act_until_) +
+                      longest_duration(*longest_of_later_process_));
+}
+
 void lease_bound::restart(milliseconds clock, time_point received,
                           milliseconds given, milliseconds longest) {
   auto last_arrival = may_arrive_until_;
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -58,12 +58,15 @@
     worker = std::make_unique<worker_state>();
     worker->entry.info.id = id;
     auto lease_ends_at = takeover_ + options_.previous_leader_lease;
+    // The earlier leader knew what it had ordered, and counted on a later
+    // process if it knew of one.
     if (auto known = inherited_lease_ends_.find(id);
         known != inherited_lease_ends_.end()) {
-      lease_ends_at = std::min(lease_ends_at, known->second);
+      lease_ends_at = known->second;
       worker->contact_lost = true;
     }
     worker->lease = lease_bound(lease_ends_at);
+    worker->lease.extend_unanswered(takeover_ + options_.late_call_limit);
   }
   return *worker;
 }
@@ -94,8 +97,10 @@
   worker->entry = entry;
   worker->entry_changed_at = now;
   worker->listed = true;
-  if (worker->incarnation != 0 && entry.incarnation > worker->incarnation &&
-      worker->lease.clock_known()) {
+  bool later_than_reported = worker->incarnation != 0 &&
+                             entry.incarnation > worker->incarnation &&
+                             worker->lease.clock_known();
+  if (later_than_reported || is_started_after_runs(*worker)) {
     log_event(absl::StrCat("worker_listed_restarted id=", entry.info.id,
                            " life=", entry.incarnation,
                            " before=", worker->incarnation));
@@ -107,13 +112,34 @@
   has_changes_ = true;
 }
 
-/// Stops orders by the clock of the worker's earlier process.
-void scheduler::expect_restart(worker_state& worker, time_point now) {
-  worker.lease.forget_clock();
+/// Stops orders by the clock of the worker's earlier process, and counts on
+/// what a later one may have got.
+void scheduler::expect_restart(worker_state& worker, time_point now) const {
+  worker.lease.expect_restart(options_.longest_lease);
   worker.reachable = false;
+  worker.contact_lost = true;
   worker.restart_listed_at = now;
 }
 
+/// @return whether the listed process of a worker that has not reported to this
+///   leader is later than one that an earlier leader has ordered to start runs.
+bool scheduler::is_started_after_runs(const worker_state& worker) {
+  return worker.incarnation == 0 &&
+         std::ranges::any_of(worker.runs, [&](const auto& ref) {
+           auto meant_for = ref.run().incarnation;
+           return meant_for != 0 && meant_for < worker.entry.incarnation;
+         });
+}
+
+/// @return when no lease that covers the run is valid any more. A run that was
+///   listed ends with the process that listed it; another start may have
+///   reached a later one.
+time_point scheduler::lease_end_of(const worker_state& worker,
+                                   const run_state& run) {
+  return run.is_listed ? worker.lease.expires_at()
+                       : worker.lease.later_process_expires_at();
+}
+
 bool scheduler::is_other_process(const model::worker_id& id,
                                  unix_ms incarnation) const {
   const auto* worker = find_worker(id);
@@ -219,7 +245,11 @@
   std::vector<lost_worker> lost;
   for (const auto& [id, worker] : workers_) {
     if (worker->contact_lost && !worker->runs.empty()) {
-      lost.push_back({id, worker->lease.expires_at()});
+      auto ends_at = worker->lease.expires_at();
+      for (const auto& ref : worker->runs) {
+        ends_at = std::max(ends_at, lease_end_of(*worker, ref.run()));
+      }
+      lost.push_back({id, ends_at});
     }
   }
   return lost;
@@ -233,6 +263,13 @@
   }
 }
 
+void scheduler::on_lease_unanswered(const model::worker_id& id,
+                                    time_point now) {
+  if (auto* worker = find_worker(id)) {
+    worker->lease.extend_unanswered(now + options_.late_call_limit);
+  }
+}
+
 const lease_bound* scheduler::lease_of(const model::worker_id& id) const {
   const auto* worker = find_worker(id);
   return worker == nullptr ? nullptr : &worker->lease;
@@ -361,7 +398,11 @@
       orders_.push_back(stop_order{worker.entry.info.id, row.task, row.number});
       continue;
     }
-    run->incarnation = worker.incarnation;
+    run->is_listed = true;
+    if (run->incarnation != worker.incarnation) {
+      run->incarnation = worker.incarnation;
+      step->mark_dirty(row.task.index);
+    }
     mark_begun(*step->job);
     check_progress(*step, row.task.index, *run, row.progress, report);
     run->measurement = row.measurement;
@@ -516,8 +557,10 @@
       continue;
     }
     auto expired = worker->runs;
-    std::erase_if(expired, [](const auto& ref) {
-      return ref.run().phase == run_phase::starting;
+    std::erase_if(expired, [&worker = *worker, now](const auto& ref) {
+      const auto& run = ref.run();
+      return run.phase == run_phase::starting ||
+             now <= lease_end_of(worker, run);
     });
     if (!expired.empty()) {
       end_lost_runs(*worker, expired, "lease_over", now);
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -16,6 +16,8 @@
 struct later_process_fixture : scheduler_fixture {
   explicit later_process_fixture(int attempts = 2)
       : scheduler_fixture(with_long_leases()) {
+    // No order of an earlier leader takes effect any more.
+    advance_time(20000ms);
     add_worker("w1", {4000, 4000, 0});
     add_job("a", {step(1, 1000)}, attempts);
     plan();
@@ -27,6 +29,7 @@
   void replace_process() {
     auto& worker = workers.at("w1");
     worker.entry.incarnation += 1000;
+    // Its clock may begin anywhere.
     worker.started_at = now() - 1500s;
     worker.ends = 0;
   }
--- a/packages/batch/test/lease_bound_test.cc
+++ b/packages/batch/test/lease_bound_test.cc
@@ -71,12 +71,33 @@
   lease.observe_clock(50000ms, start, 5000ms);
   lease.extend(55000ms, start + 400ms);
   auto before = lease.expires_at();
-  lease.forget_clock();
+  lease.expect_restart(10000ms);
   REQUIRE(lease.expires_at() == before);
   lease.observe_clock(50100ms, start + 100ms, 5000ms);
   REQUIRE(lease.clock_known());
   REQUIRE(lease.expires_at() >= start + 5000ms);
 }
 
+// Guards against two runs of a task at once: a later process takes the deadline
+// of an order that was meant for its predecessor for the longest lease.
+TEST_CASE("a later process may hold the longest lease from the last order on") {
+  lease_bound lease;
+  lease.observe_clock(50000ms, start, 5000ms);
+  lease.extend(55000ms, start + 400ms);
+  REQUIRE(lease.later_process_expires_at() == lease.expires_at());
+  lease.expect_restart(10000ms);
+  REQUIRE(lease.later_process_expires_at() >= start + 10400ms);
+  REQUIRE(lease.later_process_expires_at() <= start + 10800ms);
+  // An order without a response may take effect later.
+  lease.extend_unanswered(start + 13000ms);
+  REQUIRE(lease.later_process_expires_at() >= start + 23000ms);
+  REQUIRE(lease.expires_at() <= start + 5200ms);
+  // Its answer tells the lease; what was sent before is fenced off.
+  lease.restart(2919967ms, start + 2000ms, 5000ms, 10000ms);
+  REQUIRE(lease.later_process_expires_at() == lease.expires_at());
+  REQUIRE(lease.expires_at() >= start + 12000ms);
+  REQUIRE(lease.expires_at() <= start + 12400ms);
+}
+
 }  // namespace
 }  // namespace vanillaladder::batch
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -354,6 +354,9 @@
   }
   if (!answer.ok()) {
     report.count("vanillaladder_worker_report_failures_total");
+    if (was_verified) {
+      scheduler.on_lease_unanswered(id, boot_now());
+    }
     ++link.failures;
     if (link.failures >= 2) {
       scheduler.on_unreachable(id, boot_now());
@@ -432,6 +435,9 @@
           return;
         }
         self->count("starts", answer);
+        if (answer == order_answer::unanswered) {
+          self->scheduler.on_lease_unanswered(order.worker, boot_now());
+        }
         answer = self->check_fence(order.worker, token, answer);
         using batch::start_outcome;
         auto outcome = start_outcome::not_run;
