Start nothing on a worker that lists unknown runs

Callers' tasks ran on workers beyond their capacity (LIMIT), in the same second as a task of the worker ran twice: runs that had been given up still worked there, and their room was taken for free until their stops had been carried out.

Cause: a run that isn't known reserves nothing, while it is listed. Class: a conclusion ("gone") that a later report contradicts is corrected for the run, but not for what rests on it.

Change: a worker whose last report lists an unknown run gets no task (unknown_runs). The stop goes out at once, so that this lasts for one or two reports.

Conclusion: also runs that are unknown for another cause, such as an earlier leader's, no longer lead to starts beyond a worker's capacity.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -209,6 +209,9 @@
   /// they use only a part of it.
   std::int64_t serving_cpu = 0;
   std::vector<run_ref> runs;
+  /// Its last report lists runs that are not among `runs`. They take room until
+  /// they have stopped.
+  bool has_unknown_runs = false;
   worker_trust trust;
   pace_control pace;
   std::int64_t ends_applied = 0;
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -351,6 +351,7 @@
     no_room,
     room_held,
     lease_not_settled,
+    unknown_runs,
     not_trusted,
     limit_per_worker,
   };
--- a/packages/batch/src/scheduler_place.cc
+++ b/packages/batch/src/scheduler_place.cc
@@ -147,6 +147,8 @@
       return "room_held";
     case obstacle::lease_not_settled:
       return "lease_not_settled";
+    case obstacle::unknown_runs:
+      return "unknown_runs";
     case obstacle::not_trusted:
       return "not_trusted";
     case obstacle::limit_per_worker:
@@ -186,6 +188,9 @@
                             worker.entry.labels.end()) {
     return obstacle::label;
   }
+  if (worker.has_unknown_runs) {
+    return obstacle::unknown_runs;
+  }
   // A next leader counts only on the lease that leaders order.
   if (now < worker.lease.settled_at()) {
     return obstacle::lease_not_settled;
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -381,6 +381,7 @@
 void scheduler::apply_running(worker_state& worker,
                               const worker_report& report) {
   std::vector<detail::run_ref> reported;
+  worker.has_unknown_runs = false;
   for (const auto& row : report.running) {
     auto* step = find_step(row.task.step);
     run_state* run = nullptr;
@@ -396,6 +397,7 @@
       log_event(absl::StrCat("run_unknown task=", to_string(row.task), " run=",
                              row.number, " worker=", worker.entry.info.id));
       orders_.push_back(stop_order{worker.entry.info.id, row.task, row.number});
+      worker.has_unknown_runs = true;
       continue;
     }
     run->is_listed = true;
