Tell a process that has just started from its start time, not from its clock

No caller was seen to be hurt by this one alone. It would show as two runs of a task after a change of the leader: the new leader counts on a usual lease of a process that holds the longest one, and the process is cut off after its first report.

Cause: at its first report to a leader a process counts as holding the longest lease if it started shortly before, and its age was read from its clock. Clocks begin at any value (1,515,909 ms and 2,919,967 ms in two traces, on processes less than a second old), so that the rule never applied. Class: a field of a message taken for another that happened to agree with it in the tests, whose stand-in lets clocks begin at 0.

Ruled out: the same reading of the clock in lease_bound::restart. It takes the clock for an upper limit of the age, and so errs to the safe side.

Change: a process counts as young if its clock is low or its start time, by the wall clock, lies less than 18 s back (13 s for late orders, and the difference of the leases), with 5 s for the difference of two wall clocks.

--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -289,6 +289,7 @@
   void move_throttled(step_state& step, int index, run_state& run,
                       time_point now);
   void observe_clock(worker_state& worker, const worker_report& report);
+  bool may_have_orders_of_predecessor(const worker_report& report) const;
   void expect_restart(worker_state& worker, time_point now) const;
   static bool is_started_after_runs(const worker_state& worker);
   static time_point lease_end_of(const worker_state& worker,
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -81,6 +81,8 @@
   milliseconds clock{0};
   time_point requested_at;
   time_point received_at;
+  /// The local wall clock at `received_at`; 0 if not known.
+  unix_ms received_wall = 0;
   std::vector<reported_run> running;
   std::vector<reported_end> ended;
   /// Whether `ended` contains all ends that are not stored. If not, a run that
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -20,6 +20,8 @@
 constexpr int stall_factor = 5;
 /// How long the history of a worker that left the list is kept.
 constexpr milliseconds departed_worker_retention{30000};
+/// Difference of the wall clocks of two instances.
+constexpr milliseconds max_clock_difference{5000};
 /// Delay before a task whose start was refused is placed again.
 constexpr milliseconds refusal_retry_delay{200};
 
@@ -326,6 +328,25 @@
   update_pace(*worker, report.received_at);
 }
 
+/// @return whether an earlier leader may have sent orders by the clock of a
+///   predecessor to the process, so that it holds the longest lease.
+bool scheduler::may_have_orders_of_predecessor(
+    const worker_report& report) const {
+  // After this time, the lease is no longer than one that leaders order.
+  auto limit =
+      options_.late_call_limit + options_.longest_lease - options_.given_lease;
+  auto last_order = takeover_ + options_.previous_leader_lease -
+                    options_.given_lease + options_.late_call_limit;
+  auto is_young = [&](milliseconds max_age) {
+    return max_age < limit && report.received_at - max_age < last_order;
+  };
+  // A clock may begin at any value, so that it only shows that a process is
+  // young, not that it is old.
+  milliseconds wall_age(report.received_wall - report.incarnation);
+  return is_young(report.clock) || report.received_wall == 0 ||
+         is_young(wall_age - max_clock_difference);
+}
+
 /// Updates the bound on the worker's lease.
 void scheduler::observe_clock(worker_state& worker,
                               const worker_report& report) {
@@ -345,13 +366,7 @@
     }
     return;
   }
-  // An earlier leader may have sent orders by the clock of a predecessor to a
-  // process that had just started.
-  auto orders_of_earlier_leaders_end =
-      takeover_ + options_.previous_leader_lease - options_.given_lease;
-  bool may_be_longer =
-      is_first && report.clock < options_.longest_lease &&
-      report.received_at - report.clock < orders_of_earlier_leaders_end;
+  bool may_be_longer = is_first && may_have_orders_of_predecessor(report);
   worker.lease.observe_clock(
       report.clock, report.received_at,
       may_be_longer ? options_.longest_lease : options_.given_lease);
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -95,6 +95,7 @@
 TEST_CASE("a new leader expects the longest lease whatever the clock shows") {
   later_process_fixture f;
   f.replace_process();
+  f.workers.at("w1").entry.incarnation = f.wall();
   f.advance_time(1000ms);
   f.take_over(std::vector<lost_worker>());
   f.report("w1");
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -166,6 +166,7 @@
     message.clock = clock_of(worker);
     message.requested_at = now_;
     message.received_at = now_;
+    message.received_wall = wall();
     for (const auto& run : worker.running) {
       message.running.push_back({run.task, run.number, run.checkpoint,
                                  run.progress, run.measurement});
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -332,6 +332,7 @@
                    if (answer.ok()) {
                      answer->requested_at = sent;
                      answer->received_at = boot_now();
+                     answer->received_wall = wall_now();
                    }
                    self->handle_report(id, token, verified, std::move(answer));
                  });
