Keep the process that a start was meant for in the record of its run

Cause: since a run that a later process lists was stored with that process. The successor then saw no difference to the list of workers and counted on a usual lease, while the process held the longest one.

Ruled out: the bound of a run whose record names the earlier process; it ended at about 31 s.

Change: the record keeps the process that the start was meant for.

Evidence: batch_test "a new leader waits for a run that was found on a later process" fails with the line that is removed here, and passes without it. Tests of this file now read from the log whether the task was started elsewhere: a run that is stopped again at once was not counted before.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -33,7 +33,7 @@
 struct run_state {
   int number = 0;
   worker_state* worker = nullptr;
-  /// Process that the start was meant for or, once `is_listed`, that runs it.
+  /// Process that the start was meant for; a later one may have executed it.
   unix_ms incarnation = 0;
   /// Whether a process has listed the run in a report to this leader. Until
   /// then, a later process may have executed the start.
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -416,10 +416,6 @@
       continue;
     }
     run->is_listed = true;
-    if (run->incarnation != worker.incarnation) {
-      run->incarnation = worker.incarnation;
-      step->mark_dirty(row.task.index);
-    }
     mark_begun(*step->job);
     check_progress(*step, row.task.index, *run, row.progress, report);
     run->measurement = row.measurement;
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -48,8 +48,9 @@
     }
   }
 
-  std::size_t started_elsewhere() const {
-    return workers.at("w2").running.size();
+  /// @return whether the task has been started on the other worker.
+  bool started_elsewhere() const {
+    return logged("run_start task=a.0.0.0 run=2 worker=w2");
   }
 };
 
@@ -63,10 +64,10 @@
   f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
   f.cut_off();
   f.pass(10000ms);
-  CHECK(f.started_elsewhere() == 0);
+  CHECK_FALSE(f.started_elsewhere());
   // The last call to the worker may take effect until its limit.
   f.pass(scheduler_fixture::lease_call_limit + 500ms);
-  CHECK(f.started_elsewhere() == 1);
+  CHECK(f.started_elsewhere());
 }
 
 // The same for the successor of a leader that has sent the start.
@@ -76,7 +77,25 @@
   f.workers.at("w1").unresponsive = true;
   f.take_over(std::vector<lost_worker>());
   f.pass(10000ms);
-  CHECK(f.started_elsewhere() == 0);
+  CHECK_FALSE(f.started_elsewhere());
+}
+
+// Guards against a successor that takes the lease of such a process for a usual
+// one, because the leader before it had found the run there.
+TEST_CASE("a new leader waits for a run that was found on a later process") {
+  later_process_fixture f;
+  f.replace_process();
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.advance_time(100ms);
+  f.report("w1");
+  REQUIRE(f.logged("lease_not_settled id=w1"));
+  // A change of another task stores the progress of the step again.
+  f.plan();
+  f.workers.at("w1").unresponsive = true;
+  f.advance_time(500ms);
+  f.take_over(std::vector<lost_worker>());
+  f.pass(10000ms);
+  CHECK_FALSE(f.started_elsewhere());
 }
 
 TEST_CASE("a run that its process has reported does not wait for a later one") {
@@ -86,7 +105,7 @@
   f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
   f.cut_off();
   f.pass(5500ms);
-  CHECK(f.started_elsewhere() == 1);
+  CHECK(f.started_elsewhere());
 }
 
 // Guards against a lease that the leader takes for a usual one: a process that
@@ -116,7 +135,7 @@
   f.report("w1");
   f.workers.at("w2").refuses_starts = false;
   f.pass(2000ms);
-  CHECK(f.started_elsewhere() == 0);
+  CHECK(f.workers.at("w2").running.empty());
   CHECK(f.workers.at("w1").running.empty());
 }
 
@@ -126,7 +145,7 @@
   f.report("w1");
   f.cut_off();
   f.pass(6000ms);
-  REQUIRE(f.started_elsewhere() == 1);
+  REQUIRE(f.started_elsewhere());
   f.end("a.0.0.0", end_reason::done);
   f.workers.at("w1").unresponsive = false;
   f.report("w1");
@@ -158,7 +177,7 @@
   f.report("w1");
   f.cut_off();
   f.pass(6000ms);
-  REQUIRE(f.started_elsewhere() == 1);
+  REQUIRE(f.started_elsewhere());
   f.workers.at("w2").unresponsive = true;
   f.add_job("b", {scheduler_fixture::step(1, 4000)});
   f.workers.at("w1").unresponsive = false;
