Time the progress of a run by the clock of the process that runs it

A task that was at work was stopped as stalled and began again (wasted work; no rule broken was seen): its start had been meant for an earlier process and was executed by a later one, whose clock is another.

Cause: the time of a run's last progress is on the worker's clock, and was taken over from the process that the start was meant for. Found by reading the log of batch_test's new cases ("why=stands_still" 0.1 s after the report). The same class as the lease: a statement on a process that holds for its id.

Change: the time is set anew when another process than the one meant lists the run first. A run that its own process lists keeps the time of its start.

--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -1,6 +1,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "batch/detail/scheduler_state.h"
 #include "batch/scheduler.h"
@@ -415,7 +416,11 @@
       worker.has_unknown_runs = true;
       continue;
     }
-    run->is_listed = true;
+    bool is_first_listing = !std::exchange(run->is_listed, true);
+    if (is_first_listing && run->incarnation != worker.incarnation) {
+      // Timed by the clock of the process that the start was meant for.
+      run->progressed_at.reset();
+    }
     mark_begun(*step->job);
     check_progress(*step, row.task.index, *run, row.progress, report);
     run->measurement = row.measurement;
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -98,6 +98,19 @@
   CHECK_FALSE(f.started_elsewhere());
 }
 
+// Guards against a run that is stopped as stalled: its start was timed by the
+// clock of the earlier process.
+TEST_CASE("a run found on a later process has not stalled") {
+  later_process_fixture f;
+  f.replace_process();
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.advance_time(100ms);
+  f.report("w1");
+  REQUIRE(f.logged("worker_restarted id=w1"));
+  f.plan();
+  CHECK_FALSE(f.logged("stands_still"));
+}
+
 TEST_CASE("a run that its process has reported does not wait for a later one") {
   later_process_fixture f;
   f.report("w1");
