Count an attempt to start that may still reach a later process

Two runs of a task at once were possible, found by a review by reading: the first attempt to start a run gets no answer, the second one succeeds and its process lists the run, this process ends, and a later one executes the first attempt. The bound took a listed run to end with its process. The other way round, one run meant for an earlier process made all runs of its worker wait for the longest lease.

Cause: the bound asked whether the run had been listed, not whether an order for it may still be on its way.

Change: a run with an unanswered attempt waits like one that isn't listed, and only runs meant for another process than the expected one do. A successor that takes over a bound counts late orders from the last lease of the earlier leader, not from its takeover, and none if the bound already counts a later process. The entry of a later process is applied once, not at each change.

Evidence: batch_test "a listed run waits if an earlier attempt to start it was lost" uses the new call, and was not run without the change of the bound.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -38,6 +38,7 @@
   /// Whether a process has listed the run in a report to this leader. Until
   /// then, a later process may have executed the start.
   bool is_listed = false;
+  bool has_unanswered_start = false;
   run_phase phase = run_phase::starting;
   /// When the start or, in phase `stopping`, the stop was ordered.
   time_point ordered_at;
@@ -198,6 +199,9 @@
   /// It has not answered since its last report, or, if it has not reported,
   /// this or an earlier leader has tried to reach it.
   bool contact_lost = false;
+  /// Start time of a process that has not reported, but is listed or has
+  /// answered; 0 if none is known.
+  unix_ms expected_incarnation = 0;
   /// When the list of workers last named a later process than `incarnation`.
   time_point restart_listed_at;
   lease_bound lease;
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -134,6 +134,10 @@
                         time_point may_arrive_until);
   /// Records that a call that carried a lease got no response.
   void on_lease_unanswered(const model::worker_id& id, time_point now);
+  /// The same for an attempt to start a run. It may take effect late, also
+  /// after a later attempt has succeeded.
+  void on_start_unanswered(const model::worker_id& id, const task_key& task,
+                           int run, time_point now);
   void on_start_result(const model::worker_id& id, const task_key& task,
                        int run, start_outcome outcome, time_point now);
   void on_pace_delivered(const task_key& task, int run, int percent);
@@ -290,7 +294,8 @@
                       time_point now);
   void observe_clock(worker_state& worker, const worker_report& report);
   bool may_have_orders_of_predecessor(const worker_report& report) const;
-  void expect_restart(worker_state& worker, time_point now) const;
+  void expect_restart(worker_state& worker, unix_ms incarnation,
+                      time_point now) const;
   static bool is_started_after_runs(const worker_state& worker);
   static time_point lease_end_of(const worker_state& worker,
                                  const run_state& run);
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -69,7 +69,12 @@
       worker->contact_lost = true;
     }
     worker->lease = lease_bound(lease_ends_at);
-    worker->lease.extend_unanswered(takeover_ + options_.late_call_limit);
+    // A bound beyond that of a usual lease counts on a later process already.
+    if (lease_ends_at <= takeover_ + options_.previous_leader_lease) {
+      auto last_order =
+          std::min(takeover_, lease_ends_at - options_.given_lease);
+      worker->lease.extend_unanswered(last_order + options_.late_call_limit);
+    }
   }
   return *worker;
 }
@@ -103,11 +108,13 @@
   bool later_than_reported = worker->incarnation != 0 &&
                              entry.incarnation > worker->incarnation &&
                              worker->lease.clock_known();
-  if (later_than_reported || is_started_after_runs(*worker)) {
+  bool later_than_stored = is_started_after_runs(*worker) &&
+                           entry.incarnation != worker->expected_incarnation;
+  if (later_than_reported || later_than_stored) {
     log_event(absl::StrCat("worker_listed_restarted id=", entry.info.id,
                            " life=", entry.incarnation,
                            " before=", worker->incarnation));
-    expect_restart(*worker, now);
+    expect_restart(*worker, entry.incarnation, now);
   }
   if (leaving && !was_leaving) {
     drain_worker(*worker, now);
@@ -117,7 +124,9 @@
 
 /// Stops orders by the clock of the worker's earlier process, and counts on
 /// what a later one may have got.
-void scheduler::expect_restart(worker_state& worker, time_point now) const {
+void scheduler::expect_restart(worker_state& worker, unix_ms incarnation,
+                               time_point now) const {
+  worker.expected_incarnation = incarnation;
   worker.lease.expect_restart(options_.longest_lease);
   worker.reachable = false;
   worker.contact_lost = true;
@@ -135,12 +144,14 @@
 }
 
 /// @return when no lease that covers the run is valid any more. A run that was
-///   listed ends with the process that listed it; another start may have
-///   reached a later one.
+///   listed ends with the process that listed it, unless an earlier attempt to
+///   start it may still reach a later one.
 time_point scheduler::lease_end_of(const worker_state& worker,
                                    const run_state& run) {
-  return run.is_listed ? worker.lease.expires_at()
-                       : worker.lease.later_process_expires_at();
+  bool may_run_later = run.incarnation != worker.expected_incarnation &&
+                       (!run.is_listed || run.has_unanswered_start);
+  return may_run_later ? worker.lease.later_process_expires_at()
+                       : worker.lease.expires_at();
 }
 
 bool scheduler::is_other_process(const model::worker_id& id,
@@ -158,7 +169,7 @@
   }
   log_event(absl::StrCat("worker_answered_restarted id=", id, " life=",
                          incarnation, " before=", worker->incarnation));
-  expect_restart(*worker, now);
+  expect_restart(*worker, incarnation, now);
 }
 
 /// @return whether `successor` has started later than `worker` at its address
@@ -273,6 +284,15 @@
   }
 }
 
+void scheduler::on_start_unanswered(const model::worker_id& id,
+                                    const task_key& task, int run_number,
+                                    time_point now) {
+  on_lease_unanswered(id, now);
+  if (auto* run = find_run(task, run_number)) {
+    run->has_unanswered_start = true;
+  }
+}
+
 const lease_bound* scheduler::lease_of(const model::worker_id& id) const {
   const auto* worker = find_worker(id);
   return worker == nullptr ? nullptr : &worker->lease;
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -80,6 +80,36 @@
   CHECK_FALSE(f.started_elsewhere());
 }
 
+// The same for an attempt without an answer, after which a later attempt
+// succeeded: the first one may start the run again on a later process.
+TEST_CASE("a listed run waits if an earlier attempt to start it was lost") {
+  later_process_fixture f;
+  f.tested_scheduler().on_start_unanswered("w1", {{"a", 0, 0}, 0}, 1, f.now());
+  f.report("w1");
+  f.replace_process();
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.cut_off();
+  f.pass(23000ms);
+  CHECK_FALSE(f.started_elsewhere());
+  f.pass(1000ms);
+  CHECK(f.started_elsewhere());
+}
+
+// Guards against waits that begin anew under each leader.
+TEST_CASE(
+    "changes of the leader do not lengthen the wait for a later process") {
+  later_process_fixture f;
+  f.replace_process();
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.cut_off();
+  for (int n = 0; n < 4; ++n) {
+    f.pass(3000ms);
+    f.take_over(f.tested_scheduler().lost_workers());
+  }
+  f.pass(2000ms);
+  CHECK(f.started_elsewhere());
+}
+
 // Guards against a successor that takes the lease of such a process for a usual
 // one, because the leader before it had found the run there.
 TEST_CASE("a new leader waits for a run that was found on a later process") {
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -437,7 +437,8 @@
         }
         self->count("starts", answer);
         if (answer == order_answer::unanswered) {
-          self->scheduler.on_lease_unanswered(order.worker, boot_now());
+          self->scheduler.on_start_unanswered(order.worker, order.task,
+                                              order.run, boot_now());
         }
         answer = self->check_fence(order.worker, token, answer);
         using batch::start_outcome;
