Send the starts that are held again only in the next pass

A leader could spend its processor on starts that it may not send: with more than 32 starts held for workers that have not answered, each turn of the event loop held them again and took the next 32 without a pause, for up to 1.5 s. The renewal of its lease waits in the same loop. Found by a review, by reading; not seen in a run.

Cause: starts that were held again joined the queue of the pass that held them.

Change: a pass sends the starts that were held when it began. Two more findings of the review: a link has its token from the beginning, so that no order leaves without one; a run that a worker lists 2 s after its stop was answered is stopped again: the process that answered may have ended, and a later one started the run.

Evidence: batch_test "a run that is listed long after its stop is stopped again" failed before and passes now. The pause of held starts and the token of new links have no test of their own; dispatch_test passes.

--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -21,6 +21,9 @@
 constexpr int stall_factor = 5;
 /// How long the history of a worker that left the list is kept.
 constexpr milliseconds departed_worker_retention{30000};
+/// After this time, a run that is still listed is stopped again. Longer than a
+/// stop takes.
+constexpr milliseconds stop_repeat_interval{2000};
 /// Difference of the wall clocks of two instances.
 constexpr milliseconds max_clock_difference{5000};
 /// Delay before a task whose start was refused is placed again.
@@ -449,6 +452,12 @@
       run->is_answered = true;
       run->answered_at = report.received_at;
     }
+    if (run->phase == run_phase::stopping && run->is_answered &&
+        report.requested_at - run->answered_at > stop_repeat_interval) {
+      // A later process, which has started the run after the stop.
+      run->is_answered = false;
+      orders_.push_back(stop_order{worker.entry.info.id, row.task, row.number});
+    }
     reported.push_back({step, row.task.index, row.number});
   }
   if (!report.lists_all_ends) {
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -110,6 +110,26 @@
   CHECK(f.started_elsewhere());
 }
 
+// Guards against a run beyond its stop: the stop was answered by the process
+// that then ended, and a later one has started the run.
+TEST_CASE("a run that is listed long after its stop is stopped again") {
+  later_process_fixture f;
+  f.report("w1");
+  auto run = f.workers.at("w1").running;
+  f.tested_scheduler().cancel_job("a", f.now());
+  f.plan();
+  f.replace_process();
+  f.workers.at("w1").running = run;
+  f.workers.at("w1").ended.clear();
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  for (int n = 0; n < 30; ++n) {
+    f.advance_time(100ms);
+    f.report("w1");
+    f.plan();
+  }
+  CHECK(f.workers.at("w1").running.empty());
+}
+
 // Guards against a successor that takes the lease of such a process for a usual
 // one, because the leader before it had found the run there.
 TEST_CASE("a new leader waits for a run that was found on a later process") {
--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -123,6 +123,7 @@
                   bool maybe_sent);
   void hold_start(const batch::start_order& order, int attempt,
                   bool maybe_sent);
+  void schedule_held_starts();
   void send_held_starts();
   void drop_start(const batch::start_order& order, bool maybe_sent,
                   std::string_view why);
@@ -161,6 +162,9 @@
   absl::flat_hash_map<std::string, pace_calls> paces;
   /// Starts that wait until they may be sent.
   std::deque<held_start> held_starts;
+  /// Whether they are sent later, and how many of them in the present pass.
+  bool is_pass_scheduled = false;
+  std::size_t due_starts = 0;
   bool stopped = false;
 };
 
@@ -496,23 +500,36 @@
 void worker_links::impl::hold_start(const batch::start_order& order,
                                     int attempt, bool maybe_sent) {
   held_starts.push_back({order, attempt, maybe_sent});
-  if (held_starts.size() == 1) {
-    defer(options.retry_pause, [this] { send_held_starts(); });
+  if (!is_pass_scheduled) {
+    schedule_held_starts();
   }
 }
 
-/// Sends the held starts once this is permitted, some in each event-loop turn.
+void worker_links::impl::schedule_held_starts() {
+  is_pass_scheduled = true;
+  defer(options.retry_pause, [this] {
+    due_starts = held_starts.size();
+    send_held_starts();
+  });
+}
+
+/// Sends the starts that are due once this is permitted, some in each
+/// event-loop turn. Those that are held again wait for the next pass.
 void worker_links::impl::send_held_starts() {
-  bool is_permitted = may_order() && may_start();
+  if (!may_order() || !may_start()) {
+    due_starts = 0;
+  }
   std::vector<held_start> ready;
-  while (is_permitted && !held_starts.empty() &&
-         ready.size() < max_requests_per_turn) {
+  for (; due_starts > 0 && ready.size() < max_requests_per_turn; --due_starts) {
     ready.push_back(std::move(held_starts.front()));
     held_starts.pop_front();
   }
-  if (!held_starts.empty()) {
-    defer(is_permitted ? std::chrono::milliseconds(0) : options.retry_pause,
-          [this] { send_held_starts(); });
+  if (due_starts > 0) {
+    defer(std::chrono::milliseconds(0), [this] { send_held_starts(); });
+  } else if (!held_starts.empty()) {
+    schedule_held_starts();
+  } else {
+    is_pass_scheduled = false;
   }
   for (const auto& each : ready) {
     send_start(each.order, each.attempt, each.maybe_sent);
@@ -659,6 +676,7 @@
   }
   link.entry = entry;
   if (is_new) {
+    impl_->raise_token(entry.info.id, link);
     impl_->request_report(entry.info.id);
   }
 }
