Confirm an end to a worker only until it has answered

Suspected cause: a report that waits carries the number of the last stored end (lastSeen). A later process that executes it forgets its own ends up to this number. Every report carried it, also without news.

Change: the number is sent until a report with it has been answered. Fewer calls that a later process may execute carry one.

Ruled out: that the token covers it. A process that has not answered yet knows no token.

Evidence: dispatch_test "an end is confirmed until the worker has answered and not longer" fails if the number is always sent, and passes now.

--- a/packages/dispatch/src/worker_links.cc
+++ b/packages/dispatch/src/worker_links.cc
@@ -78,6 +78,8 @@
   int failures = 0;
   /// Whether the worker has reported since the link was added.
   bool has_reported = false;
+  /// Last number of an end whose confirmation its process has answered.
+  std::int64_t confirmed_end = 0;
   fencing_token token;
   /// Whether a call that must not take effect on another process may have been
   /// sent under this token.
@@ -107,6 +109,7 @@
   void request_report_after(const model::worker_id& id,
                             std::chrono::milliseconds pause);
   void request_delayed_reports();
+  void note_confirmed(const model::worker_id& id, std::int64_t end);
   void handle_report(const model::worker_id& id, fencing_token token,
                      bool was_verified,
                      absl::StatusOr<batch::worker_report> answer);
@@ -318,22 +321,28 @@
   if (verified) {
     request.permit = permit(link);
     request.deadline = extend_lease(id, wait + options.answer_limit);
-    request.stored_end = scheduler.last_stored_end(id);
+    // A later process would forget ends of its own, so that a number is sent
+    // only until it is confirmed.
+    auto stored_end = scheduler.last_stored_end(id);
+    request.stored_end = stored_end > link.confirmed_end ? stored_end : 0;
     // Without a deadline no lease may be ordered until the next renewal of the
     // leadership.
     request.wait = request.deadline.count() > 0 ? wait : options.retry_pause;
   } else {
     raise_token(id, link);
+    link.confirmed_end = 0;
     request.permit = {link.token.value(), may_order};
   }
   auto sent = boot_now();
   gateway.report(link.entry.info, request, request.wait + options.answer_limit,
                  [self = shared_from_this(), id, token = link.token, verified,
+                  confirmed = request.stored_end,
                   sent](absl::StatusOr<batch::worker_report> answer) {
                    if (self->stopped) {
                      return;
                    }
                    if (answer.ok()) {
+                     self->note_confirmed(id, confirmed);
                      answer->requested_at = sent;
                      answer->received_at = boot_now();
                      answer->received_wall = wall_now();
@@ -342,6 +351,14 @@
                  });
 }
 
+void worker_links::impl::note_confirmed(const model::worker_id& id,
+                                        std::int64_t end) {
+  if (auto found = links.find(id); found != links.end()) {
+    auto& confirmed = found->second.confirmed_end;
+    confirmed = std::max(confirmed, end);
+  }
+}
+
 /// @param was_verified whether the process was known when it was asked.
 void worker_links::impl::handle_report(
     const model::worker_id& id, fencing_token token, bool was_verified,
--- a/packages/dispatch/test/later_process_test.cc
+++ b/packages/dispatch/test/later_process_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <vector>
 
@@ -31,6 +32,7 @@
     batch::worker_report answer;
     answer.incarnation = incarnation;
     answer.clock = 2919967ms;
+    answer.ended = ended;
     done(answer);
   }
   void start(const model::worker_info&, const batch::start_order&,
@@ -63,6 +65,7 @@
   model::epoch token = 0;
   batch::unix_ms incarnation = 1;
   bool is_silent = false;
+  std::vector<batch::reported_end> ended;
   std::vector<external::report_request> requests;
   std::vector<report_callback> silent_reports;
   std::vector<external::start_permit> starts;
@@ -189,6 +192,23 @@
   CHECK(f.superseded == 1);
 }
 
+// Guards against ends that a later process forgets, because it gets the number
+// of an end of its predecessor.
+TEST_CASE("an end is confirmed until the worker has answered and not longer") {
+  later_process_fixture f;
+  f.gateway.ended = {{1, {{"job", 0, 0}, 0}, 1, batch::end_reason::done, ""}};
+  f.run_until([&] { return f.scheduler.has_unstored_ends("w"); });
+  f.gateway.ended.clear();
+  f.scheduler.plan(boot_now(), wall_now());
+  f.scheduler.on_progress_committed();
+  auto asked = f.gateway.requests.size();
+  f.links.on_ends_stored();
+  f.run_until([&] { return f.gateway.requests.size() > asked + 3; });
+  auto confirmations = std::ranges::count(
+      f.gateway.requests, 1, &external::report_request::stored_end);
+  CHECK(confirmations == 1);
+}
+
 // Guards against starts that reach a process which the leader doesn't know.
 TEST_CASE("a start waits while the worker has not answered the last request") {
   later_process_fixture f;
