Print the logs of a model that fails

Cause: prove.sh calls `tail -5` with several files, which this tail rejects ("option used in invalid context -- 5"); with set -e the script then ends at the first model that fails, without its logs and the models after it.

Ruled out: that a failure was hidden; the script ended with an error.

Change: tail -n 5.

Measured: seen twice in spec/prove.sh lives while that model failed. No model has failed since, so that the new line has not been run by the script.

Conclusion: the other models would be checked after a failure.

--- a/spec/prove.sh
+++ b/spec/prove.sh
@@ -53,7 +53,7 @@
     echo "holds: $model $2 ($1): $(summary "$name")"
   else
     echo "FAILED: $model $2 ($1): $(summary "$name")"
-    tail -5 "$work/$name/"*.log
+    tail -n 5 "$work/$name/"*.log
     failed=1
   fi
 }
