--- a/spec/prove.sh
+++ b/spec/prove.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 models=("$@")
-[ ${#models[@]} -gt 0 ] || models=(ownership configuration delivery delegation takeover)
+[ ${#models[@]} -gt 0 ] || models=(ownership configuration delivery delegation takeover lives)
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 # Bounds of every run: search depth, seconds and MB of memory. All runs are
