Model the wait for an attempt to start that is not answered

The model of later processes was written before the code had this wait, and expected a counterexample with repeated starts.

Change: the wait is a rule of the model, with a guard of its own.

Conclusion: left as assumptions, since the code doesn't exclude them: a process that has answered under a raised token crashes while earlier calls are in transit; a later process that isn't listed before its predecessor's run is given up.

--- a/spec/lives.pml
+++ b/spec/lives.pml
@@ -9,18 +9,16 @@
  *
  * The leader counts the ticks until no lease is valid (`given`), and until none
  * is valid on a later process that gets the calls (`later`). `given` counts for
- * a run that was listed in a report, the later of both for any other once a
- * later process is expected.
+ * a run that was listed in a report and whose starts were all answered, the
+ * later of both for any other once a later process is expected.
  *
- * Assumed; without each of the first three there is a counterexample (see
+ * Assumed; without each of the first two there is a counterexample (see
  * lives.runs), so that the rules alone do not exclude these cases:
  * - ANY_RESTART: a process that the leader has reached under a raised token, or
  *   from whose report it has taken that a run is over, does not crash while
  *   calls sent before are in transit: its successor has seen no token. The same
  *   for a worker on which the leader has given a run up.
  * - LATE_LISTING: a later process is listed before the leader gives a run up.
- * - REPEATS: a start is sent once. With a repeated start, a listed run does not
- *   prove that no start of it is in transit (WAIT_FOR_REPEATS counts on it).
  * - Clocks run at the same rate; a call is answered, or known to be unanswered,
  *   within a tick; start times of processes rise; requests under a raised token
  *   take effect at once or not at all.
@@ -87,12 +85,10 @@
 #endif
 #ifdef NO_LATER_PROCESS_BOUND
 #define COUNTS_LATER(w) false
-#elif defined(WAIT_FOR_REPEATS)
-/* Not a rule of the code: a listed run counts as any other while one of its
-   starts is unanswered. */
-#define COUNTS_LATER(w) (expected[w] && !(is_listed && all_answered))
-#else
+#elif defined(NO_UNANSWERED_ATTEMPT)
 #define COUNTS_LATER(w) (expected[w] && !is_listed)
+#else
+#define COUNTS_LATER(w) (expected[w] && !(is_listed && all_answered))
 #endif
 #ifdef LATE_LISTING
 #define IS_LISTED(w) true
