Let late orders reach a later process in the platform's stand-in

The stand-in hid the fault: the clock of each process began at 0, and late orders were dropped once their process had ended.

Ruled out: a first version of the tests used workers that had just started and a longest lease of 20 s. A leader counts on the longest lease of a worker that is young at its first report (lease_left_ms 17134 and 18129 of 20000 when it became unreachable), so that all cases passed on for that reason.

--- a/tests/harness/include/harness/platform_cluster.h
+++ b/tests/harness/include/harness/platform_cluster.h
@@ -20,6 +20,8 @@
   std::size_t domains = 3;
   std::size_t labels = 1;
   std::int64_t worker_cpu_millis = 4000;
+  /// Longest lease that workers grant, as the daemons' settings name it.
+  std::int64_t longest_lease_ms = 6000;
   /// Processor shares of the first daemons; the others have half a core.
   std::vector<double> processor_shares = {};
   /// Further lines of the section `[limits]` of the daemons' settings.
--- a/tests/harness/src/platform_cluster.cc
+++ b/tests/harness/src/platform_cluster.cc
@@ -63,7 +63,8 @@
                   option("workers", options_.workers),
                   option("domains", options_.domains),
                   option("labels", options_.labels),
-                  option("cpu", options_.worker_cpu_millis)},
+                  option("cpu", options_.worker_cpu_millis),
+                  option("longest-lease", options_.longest_lease_ms)},
       folder_, options_.daemons + options_.workers);
   put("operator", platform::configuration_key,
       platform::configuration(1).dump());
@@ -101,7 +102,8 @@
         << "ready = " << endpoint(target.ready_port)
         << "metrics = " << endpoint(free_port())
         << "[store]\naddress = " << endpoint(target.store_port)
-        << "[workers]\nlongest_lease_ms = 6000\nrun_stop_ms = 50\n"
+        << "[workers]\nlongest_lease_ms = " << options_.longest_lease_ms
+        << "\nrun_stop_ms = 50\n"
         << "[limits]\nstop_ms = 3000\nprocessor_share = "
         << target.processor_share << "\n"
         << options_.extra_limits;
--- a/tests/standins/include/standins/platform_workers.h
+++ b/tests/standins/include/standins/platform_workers.h
@@ -25,9 +25,13 @@
 /// It starts whatever it is told to, under a lease on its own clock. Settings:
 /// `silent` (calls have no effect and no answer, its entry lapses, its tasks go
 /// on), `dead` (it runs nothing; once set back, it starts again under its id,
-/// with a new clock), `draining`, `failing` (what it starts fails at once),
-/// `late_orders` and `late_order_ms` (the next n starts, stops and paces get no
-/// answer and are executed after this time, unless the process has ended).
+/// with a new clock; set back together with `silent`, its entry is written
+/// before it is cut off), `next_clock_ms` (where the clock of the next process
+/// begins; drawn if negative), `draining`, `failing` (what it starts fails at
+/// once), `late_orders` and `late_order_ms` (the next n starts, stops and paces
+/// get no answer and are executed after this time, unless the process has
+/// ended), `late_orders_outlast` (these are executed by the worker's process of
+/// that time, or by the next one as soon as it starts).
 class platform_worker {
  public:
   struct options {
@@ -35,6 +39,8 @@
     std::string domain;
     std::string label;
     std::int64_t cpu_millis = 0;
+    /// Longest lease that it grants.
+    std::int64_t longest_lease_ms = 0;
   };
 
   platform_worker(platform_workers& fleet, options settings);
@@ -73,7 +79,10 @@
 
   bool defer_order(const http::request& message);
   void execute(const http::request& message, const responder_ptr& answer);
+  void execute_late(const http::request& message);
   void begin_life();
+  void execute_held_orders();
+  std::int64_t draw_clock_start() const;
   void lose_all(std::string_view why);
   std::int64_t clock_ms() const;
   json clock_fields() const;
@@ -88,6 +97,7 @@
   void finish(std::list<run>::iterator ended, const std::string& how);
   void end_due_runs(clock::time_point now);
   void announce(clock::time_point now);
+  void write_entry(clock::time_point now);
 
   platform_workers* fleet_;
   options options_;
@@ -99,9 +109,13 @@
   bool failing_ = false;
   std::int64_t late_orders_ = 0;
   std::int64_t late_order_ms_ = 0;
+  bool late_orders_outlast_ = false;
+  std::int64_t next_clock_ms_ = -1;
   bool was_dead_ = false;
   clock::time_point born_;
   std::int64_t born_unix_ms_ = 0;
+  /// Where the clock of the process began.
+  std::int64_t clock_start_ms_ = 0;
   std::int64_t token_ = 0;
   std::int64_t deadline_ = 0;
   std::int64_t last_end_ = 0;
@@ -113,6 +127,8 @@
   /// Highest number of a run of each task that was stopped or ended here.
   std::map<std::string, std::int64_t> passed_;
   std::vector<waiting_report> waiting_;
+  /// Late orders that were due while there was no process.
+  std::vector<http::request> held_orders_;
 };
 
 /// All workers of the platform's stand-in.
--- a/tests/standins/main/standin_platform.cc
+++ b/tests/standins/main/standin_platform.cc
@@ -27,6 +27,7 @@
   --domains=<n>       Failure domains domain-1, domain-2, ... [default: 1].
   --labels=<n>        Labels label-1, label-2, ... in turn [default: 1].
   --cpu=<millis>      Processors of each worker [default: 4000].
+  --longest-lease=<ms>  Longest lease that workers grant [default: 6000].
 )";
 
 std::string numbered(const char* prefix, std::int64_t n, std::int64_t count) {
@@ -92,11 +93,11 @@
     }
   }
   for (std::int64_t n = 0; n < options.number("--workers"); ++n) {
-    auto& worker =
-        workers.add({"worker-" + std::to_string(n + 1),
-                     numbered("domain-", n, options.number("--domains")),
-                     numbered("label-", n, options.number("--labels")),
-                     options.number("--cpu")});
+    auto& worker = workers.add(
+        {"worker-" + std::to_string(n + 1),
+         numbered("domain-", n, options.number("--domains")),
+         numbered("label-", n, options.number("--labels")),
+         options.number("--cpu"), options.number("--longest-lease")});
     auto serve = [&worker](const http::request& message, const auto& answer) {
       worker.handle(message, answer);
     };
--- a/tests/standins/src/platform_workers.cc
+++ b/tests/standins/src/platform_workers.cc
@@ -1,6 +1,7 @@
 #include "standins/platform_workers.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "standins/control_port.h"
@@ -13,7 +14,6 @@
 constexpr milliseconds tick_interval{4};
 /// Interval at which a worker writes its entry, which lapses after three.
 constexpr milliseconds announce_interval{400};
-constexpr milliseconds longest_lease{6000};
 constexpr milliseconds stop_time{50};
 /// How long a member of a gang waits for the others.
 constexpr milliseconds gang_wait{3000};
@@ -21,6 +21,9 @@
 constexpr std::size_t listed_ends = 500;
 /// Minimum time that a draining worker says it has left.
 constexpr std::int64_t remaining_ms = 2000;
+/// Range of the clocks of processes that start.
+constexpr std::int64_t first_clock_ms = 10'000'000;
+constexpr std::int64_t last_clock_ms = 1'000'000'000;
 
 std::string step_of(const std::string& task) {
   return task.substr(0, task.rfind('.'));
@@ -43,6 +46,8 @@
   knobs_.add("failing", &failing_);
   knobs_.add("late_orders", &late_orders_);
   knobs_.add("late_order_ms", &late_order_ms_);
+  knobs_.add("late_orders_outlast", &late_orders_outlast_);
+  knobs_.add("next_clock_ms", &next_clock_ms_);
   begin_life();
 }
 
@@ -51,6 +56,7 @@
   born_unix_ms_ = std::chrono::duration_cast<milliseconds>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count();
+  clock_start_ms_ = next_clock_ms_ < 0 ? draw_clock_start() : next_clock_ms_;
   token_ = 0;
   deadline_ = 0;
   last_end_ = 0;
@@ -60,8 +66,24 @@
   passed_.clear();
 }
 
+/// A clock that began near 0 would tell processes that have just started.
+std::int64_t platform_worker::draw_clock_start() const {
+  std::vector<std::uint32_t> words(options_.id.begin(), options_.id.end());
+  words.push_back(static_cast<std::uint32_t>(born_unix_ms_));
+  std::seed_seq seed(words.begin(), words.end());
+  std::mt19937_64 random(seed);
+  return std::uniform_int_distribution(first_clock_ms, last_clock_ms)(random);
+}
+
+void platform_worker::execute_held_orders() {
+  for (const auto& message : std::exchange(held_orders_, {})) {
+    execute_late(message);
+  }
+}
+
 std::int64_t platform_worker::clock_ms() const {
-  return std::chrono::duration_cast<milliseconds>(clock::now() - born_).count();
+  return clock_start_ms_ +
+         std::chrono::duration_cast<milliseconds>(clock::now() - born_).count();
 }
 
 json platform_worker::clock_fields() const {
@@ -77,6 +99,8 @@
     waiting_.clear();
   } else if (was_dead_ && !dead_) {
     begin_life();
+    write_entry(clock::now());
+    execute_held_orders();
   }
   was_dead_ = dead_;
 }
@@ -85,6 +109,7 @@
   auto values = knobs_.values();
   values["id"] = options_.id;
   values["running"] = running_.size();
+  values["held_orders"] = held_orders_.size();
   return values;
 }
 
@@ -103,14 +128,21 @@
                                       {"run", body.value("run", 0)},
                                       {"worker", options_.id}});
   fleet_->loop_->call_after(
-      milliseconds(late_order_ms_), [this, message, life = born_unix_ms_] {
-        if (life == born_unix_ms_) {
-          execute(message, std::make_shared<discarding_responder>());
+      milliseconds(late_order_ms_),
+      [this, message, life = born_unix_ms_, outlasts = late_orders_outlast_] {
+        if (outlasts && dead_) {
+          held_orders_.push_back(message);
+        } else if (outlasts || life == born_unix_ms_) {
+          execute_late(message);
         }
       });
   return true;
 }
 
+void platform_worker::execute_late(const http::request& message) {
+  execute(message, std::make_shared<discarding_responder>());
+}
+
 void platform_worker::handle(const http::request& message,
                              const responder_ptr& answer) {
   if (!dead_ && !silent_ && !defer_order(message)) {
@@ -162,7 +194,7 @@
 
 void platform_worker::extend_lease(const json& body) {
   auto until = std::min(body.value("deadlineMs", std::int64_t{0}),
-                        clock_ms() + longest_lease.count());
+                        clock_ms() + options_.longest_lease_ms);
   if (until > clock_ms()) {
     deadline_ = std::max(deadline_, until);
   }
@@ -345,9 +377,12 @@
     }
     return;
   }
-  if (now - announced_at_ < announce_interval) {
-    return;
+  if (now - announced_at_ >= announce_interval) {
+    write_entry(now);
   }
+}
+
+void platform_worker::write_entry(clock::time_point now) {
   announced_at_ = now;
   listed_ = true;
   json entry = {{"service", platform::service},
