Tell a new leader which processes workers had before they left the list

Two runs of a task at once: a later process executes late starts, its entry lapses, and only then the leader's successor takes over. It never lists the process and counts on the lease of the earlier one. Found by schedule_test "late starts run once on a silent later process after a leader is killed", 4 of 5 runs on.

Cause: a daemon forgot the entry of a worker that left the list, and with it the start time that tells of the later process.

Change: daemons keep the last entry of such workers for 60 s; a leader that takes over compares them with the records of runs as it does the listed ones.

Evidence: batch_test "a new leader waits for a later process that has left the list" calls the new function; the comparison with listed entries has its own case.

--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -114,6 +114,10 @@
   /// Removes the stored state of a job whose retention time has passed.
   void remove_job_state(const model::job_id& id);
 
+  /// Handles that a process with this start time was listed for a worker before
+  /// this leader took over. Must be called after progress is restored.
+  void on_earlier_entry(const model::worker_id& id, unix_ms incarnation,
+                        time_point now);
   void update_worker(const worker_entry& entry, time_point now);
   /// Marks a worker as no longer listed. Its runs may continue until their
   /// lease expires.
@@ -296,7 +300,8 @@
   bool may_have_orders_of_predecessor(const worker_report& report) const;
   void expect_restart(worker_state& worker, unix_ms incarnation,
                       time_point now) const;
-  static bool is_started_after_runs(const worker_state& worker);
+  static bool is_started_after_runs(const worker_state& worker,
+                                    unix_ms incarnation);
   static time_point lease_end_of(const worker_state& worker,
                                  const run_state& run);
   static bool replaces(const worker_state& successor,
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -111,9 +111,8 @@
   bool later_than_reported = worker->incarnation != 0 &&
                              entry.incarnation > worker->incarnation &&
                              worker->lease.clock_known();
-  bool later_than_stored = is_started_after_runs(*worker) &&
-                           entry.incarnation != worker->expected_incarnation;
-  if (later_than_reported || later_than_stored) {
+  if (later_than_reported ||
+      is_started_after_runs(*worker, entry.incarnation)) {
     log_event(absl::StrCat("worker_listed_restarted id=", entry.info.id,
                            " life=", entry.incarnation,
                            " before=", worker->incarnation));
@@ -136,16 +135,30 @@
   worker.restart_listed_at = now;
 }
 
-/// @return whether the listed process of a worker that has not reported to this
-///   leader is later than one that an earlier leader has ordered to start runs.
-bool scheduler::is_started_after_runs(const worker_state& worker) {
-  return worker.incarnation == 0 &&
+/// @return whether a process of a worker that has not reported to this leader
+/// is
+///   later than one that an earlier leader has ordered to start runs, and is
+///   not expected yet.
+bool scheduler::is_started_after_runs(const worker_state& worker,
+                                      unix_ms incarnation) {
+  return worker.incarnation == 0 && incarnation > worker.expected_incarnation &&
          std::ranges::any_of(worker.runs, [&](const auto& ref) {
            auto meant_for = ref.run().incarnation;
-           return meant_for != 0 && meant_for < worker.entry.incarnation;
+           return meant_for != 0 && meant_for < incarnation;
          });
 }
 
+void scheduler::on_earlier_entry(const model::worker_id& id,
+                                 unix_ms incarnation, time_point now) {
+  auto* worker = find_worker(id);
+  if (worker == nullptr || !is_started_after_runs(*worker, incarnation)) {
+    return;
+  }
+  log_event(absl::StrCat("worker_was_listed_restarted id=", id,
+                         " life=", incarnation));
+  expect_restart(*worker, incarnation, now);
+}
+
 /// @return when no lease that covers the run is valid any more. A run that was
 ///   listed ends with the process that listed it, unless an earlier attempt to
 ///   start it may still reach a later one.
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -80,6 +80,18 @@
   CHECK_FALSE(f.started_elsewhere());
 }
 
+// The same for a process whose entry has lapsed before the takeover.
+TEST_CASE("a new leader waits for a later process that has left the list") {
+  later_process_fixture f;
+  f.replace_process();
+  auto process = f.workers.at("w1").entry.incarnation;
+  f.workers.erase("w1");
+  f.take_over(std::vector<lost_worker>());
+  f.tested_scheduler().on_earlier_entry("w1", process, f.now());
+  f.pass(10000ms);
+  CHECK_FALSE(f.started_elsewhere());
+}
+
 // The same for an attempt without an answer, after which a later attempt
 // succeeded: the first one may start the run again on a later process.
 TEST_CASE("a listed run waits if an earlier attempt to start it was lost") {
--- a/packages/dispatch/include/dispatch/leader.h
+++ b/packages/dispatch/include/dispatch/leader.h
@@ -52,6 +52,8 @@
   std::function<bool(std::string_view worker)> may_extend_lease = {};
   /// Workers that earlier leaders had no contact with.
   std::vector<batch::lost_worker> lost_workers = {};
+  /// Last entries of workers that have left the list.
+  std::vector<batch::worker_entry> unlisted_workers = {};
 };
 
 /// Schedules jobs during one leadership, from the takeover to its end.
--- a/packages/dispatch/include/dispatch/scheduling_daemon.h
+++ b/packages/dispatch/include/dispatch/scheduling_daemon.h
@@ -49,6 +49,7 @@
   void apply_operator(std::string_view key, std::string_view value);
   void apply_worker(std::string_view key, std::string_view value);
   void remove_worker(const model::worker_id& id);
+  void note_unlisted(const batch::worker_entry& entry);
   void retain_jobs(const std::set<std::string>& keys);
   void retain_closed_domains(const std::set<std::string>& keys);
   void retain_workers(const std::set<std::string>& keys);
@@ -67,6 +68,13 @@
   batch::job_directory jobs_;
   config_view config_;
   std::map<model::worker_id, batch::worker_entry> workers_;
+  struct unlisted_worker {
+    batch::worker_entry last_entry;
+    model::time_point at;
+  };
+  /// Workers that have left the list lately. A leader that takes over has to
+  /// know which processes they had.
+  std::map<model::worker_id, unlisted_worker> unlisted_workers_;
   /// How often the newest entries of an id were refused in a row.
   std::map<model::worker_id, std::uint64_t> refused_workers_;
   topic_follower jobs_follower_;
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -300,6 +300,9 @@
       scheduler.remove_progress(*key);
     }
   }
+  for (const auto& entry : context.unlisted_workers) {
+    scheduler.on_earlier_entry(entry.info.id, entry.incarnation, boot_now());
+  }
   context.jobs.for_each([this](const auto& id, const auto& job) {
     if (job.spec == nullptr) {
       return;
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -33,6 +33,9 @@
 constexpr std::chrono::milliseconds max_jobs_age{2500};
 constexpr std::chrono::milliseconds max_operator_age{1500};
 constexpr std::chrono::milliseconds max_workers_age{1500};
+
+/// Longer than the runs of a lost worker may go on.
+constexpr std::chrono::seconds unlisted_retention{60};
 /// Timeout of an additional read of a copy that grows old.
 constexpr std::chrono::milliseconds refresh_timeout{1200};
 
@@ -260,8 +263,23 @@
   }
 }
 
+void scheduling_daemon::note_unlisted(const batch::worker_entry& entry) {
+  auto now = boot_now();
+  std::erase_if(unlisted_workers_, [now](const auto& each) {
+    return now - each.second.at > unlisted_retention;
+  });
+  unlisted_workers_.insert_or_assign(entry.info.id,
+                                     unlisted_worker{entry, now});
+}
+
 void scheduling_daemon::remove_worker(const model::worker_id& id) {
-  if (workers_.erase(id) > 0 && leader_ != nullptr) {
+  auto found = workers_.find(id);
+  if (found == workers_.end()) {
+    return;
+  }
+  note_unlisted(found->second);
+  workers_.erase(found);
+  if (leader_ != nullptr) {
     leader_->on_worker_removed(id);
   }
 }
@@ -273,6 +291,7 @@
     if (keys.contains(each.first)) {
       return false;
     }
+    note_unlisted(each.second);
     if (leader_ != nullptr) {
       leader_->on_worker_removed(each.first);
     }
@@ -326,6 +345,9 @@
                            return leadership_.may_extend_lease(worker);
                          },
                          leadership_.lost_workers()};
+  for (const auto& [id, unlisted] : unlisted_workers_) {
+    context.unlisted_workers.push_back(unlisted.last_entry);
+  }
   jobs_follower_.set_read_pause(leader_jobs_pause);
   worker_follower_.set_read_pause(leader_workers_pause);
   set_read_wait(leader_read_wait);
