Keep the entries of workers that leave the list during a takeover

The daemon's list of such workers had been handed over when the leader was made; the leader itself forgot an entry that was removed before it was active.

Ruled out: that the store answers only with the newest record of a key (the stand-in keeps all), and that the topic's reader skips records.

Change: the leader keeps such an entry until it has restored the runs.

--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -689,7 +689,13 @@
 }
 
 void leader::on_worker_removed(const model::worker_id& id) {
-  impl_->workers.erase(id);
+  auto found = impl_->workers.find(id);
+  if (found != impl_->workers.end()) {
+    if (!impl_->active) {
+      impl_->context.unlisted_workers.push_back(std::move(found->second));
+    }
+    impl_->workers.erase(found);
+  }
   if (impl_->active) {
     impl_->scheduler.remove_worker(id, boot_now());
   }
