batch: bound the open occurrences of recurring jobs

Cause: a leader opened up to 100 due occurrences of a job, each with a state for every task (25,000 tasks: 360 MB), and kept complete ones, with their records, until the job ended. A successor read the same from the store.

Ruled out: plans, commits and records (successors end before they plan a start); copies of the topics and logs (other daemons don't grow until they lead).

Change: job_memory.h counts what a job takes and bounds its open occurrences; the scheduler opens nothing beyond its memory that no earlier leader has begun. Complete occurrences are closed: their numbers are stored as ranges in ID/done before their progress is removed. A takeover restores each page of the progress as it is read.

Conclusion: the memory of a leader no longer depends on how often a job recurs.

--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "batch/job_deadlines.h"
 #include "batch/job_records.h"
 #include "batch/lease_bound.h"
+#include "batch/occurrence_set.h"
 #include "batch/pace_control.h"
 #include "batch/worker.h"
 #include "batch/worker_trust.h"
@@ -135,6 +137,7 @@
   std::vector<step_state> steps;
 
   bool complete() const;
+  bool has_runs() const;
   /// @return the expected processor time of all tasks that are not done, in
   ///   core milliseconds.
   double remaining_work() const;
@@ -153,9 +156,15 @@
   std::vector<milliseconds> remaining_chains;
   /// Expected processor time of a task of each step, in core milliseconds.
   std::vector<double> task_works;
+  /// The open occurrences.
   std::deque<occurrence_state> occurrences;
-  int occurrences_opened = 0;
-  int occurrences_done = 0;
+  /// Complete occurrences of a recurring job that are not open any longer.
+  occurrence_set completed;
+  /// `completed` must be stored with the next commit.
+  bool completed_dirty = false;
+  /// Memory of an open occurrence, and how many may be open.
+  std::size_t occurrence_bytes = 0;
+  int max_open = 1;
   job_state state = job_state::queued;
   /// The state must be stored with the next commit.
   bool state_dirty = false;
@@ -169,7 +178,11 @@
   bool end_stored = false;
 
   bool has_runs() const;
-  int incomplete_occurrences() const;
+  bool is_open(int occurrence) const;
+  /// @return number of the next occurrence to open; one that is not below
+  ///   `total_occurrences` if there is none.
+  int next_occurrence() const;
+  int total_occurrences() const { return std::max(1, spec->repeat_count); }
 };
 
 /// Refers to one run of a task from the list of its worker's runs.
--- a/packages/batch/include/batch/job.h
+++ b/packages/batch/include/batch/job.h
@@ -136,9 +136,6 @@
 /// Limit of each resource of a task, in its unit; above that of any worker.
 constexpr std::int64_t max_task_resource = 1'000'000'000;
 
-/// @return about how much memory a job takes in a daemon that leads.
-std::size_t memory_of(const job_spec& spec);
-
 /// Validates a job.
 /// @return a description of the first problem, or an empty string if the job is
 ///   valid.
--- a/packages/batch/include/batch/job_directory.h
+++ b/packages/batch/include/batch/job_directory.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "batch/job.h"
+#include "batch/job_memory.h"
 #include "batch/job_records.h"
 
 namespace vanillaladder::batch {
@@ -70,9 +71,13 @@
   void for_each(const std::function<void(const model::job_id&, const entry&)>&
                     visit) const;
   std::size_t size() const { return entries_.size(); }
-  /// @return about how much memory the jobs that have not ended take in a
-  ///   daemon that leads.
-  std::size_t memory_bytes() const { return memory_bytes_; }
+  /// @return the most memory that the entries, and the jobs whose specification
+  ///   is kept, take in a daemon that leads.
+  std::size_t memory_bytes() const {
+    return jobs_bytes_ + directory_entry_bytes * entries_.size();
+  }
+  /// @return the part of it for recurring jobs.
+  std::size_t recurring_bytes() const { return recurring_bytes_; }
 
  private:
   void remove(record_kind kind, const model::job_id& id);
@@ -80,12 +85,14 @@
   change cancel(const model::job_id& id, std::string_view value);
   change set_status(const model::job_id& id, std::string_view value);
   void adjust_pending(const entry& counted, int delta);
+  void keep_spec(entry& job, job_spec&& spec);
   void drop_spec(entry& job);
   static bool is_pending(const entry& counted);
 
   absl::flat_hash_map<std::string, entry> entries_;
   absl::flat_hash_map<std::string, int> pending_;
-  std::size_t memory_bytes_ = 0;
+  std::size_t jobs_bytes_ = 0;
+  std::size_t recurring_bytes_ = 0;
 };
 
 }  // namespace vanillaladder::batch
--- a/packages/batch/include/batch/job_records.h
+++ b/packages/batch/include/batch/job_records.h
@@ -95,6 +95,18 @@
 std::string to_string(const progress_key& key);
 std::optional<progress_key> parse_progress_key(std::string_view text);
 
+/// Key of the record with the complete occurrences of a recurring job, whose
+/// progress is not stored any longer.
+struct completed_key {
+  model::job_id job;
+
+  bool operator==(const completed_key&) const = default;
+};
+
+/// @return "ID/done".
+std::string to_string(const completed_key& key);
+std::optional<completed_key> parse_completed_key(std::string_view text);
+
 std::string encode(const job_spec& spec);
 std::string encode(const job_status& status);
 std::string encode(const std::vector<task_record>& tasks,
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -15,6 +15,7 @@
 #include "batch/job.h"
 #include "batch/job_order.h"
 #include "batch/job_records.h"
+#include "batch/occurrence_set.h"
 #include "batch/orders.h"
 #include "batch/organisation_shares.h"
 #include "batch/pace_plan.h"
@@ -52,6 +53,9 @@
   milliseconds late_call_limit{13000};
   /// Whether room is held for tasks that wait by the expected ends of runs.
   bool look_ahead = false;
+  /// Memory of the open occurrences of all jobs. Others wait, but for those of
+  /// which an earlier leader has started tasks.
+  std::size_t max_state_bytes = 64U << 20;
 };
 
 /// Decisions of look-ahead placement.
@@ -107,6 +111,13 @@
                         const std::vector<task_record>& tasks, time_point now,
                         int part = 0,
                         milliseconds since_stored = milliseconds(0));
+  /// Restores which occurrences of a recurring job are complete. May be called
+  /// before or after the progress of the others is restored.
+  /// @return false if the job does not exist.
+  bool restore_completed(const model::job_id& id,
+                         const occurrence_set& completed);
+  /// Removes a stored record of progress whose job no longer exists.
+  void remove_progress(const completed_key& key);
   /// Removes the stored progress of a step whose job no longer exists.
   void remove_progress(const progress_key& key);
   /// Removes the record of a job that was submitted again after it had ended.
@@ -220,6 +231,10 @@
 
   std::size_t jobs() const { return jobs_.size(); }
   std::size_t waiting_tasks() const;
+  /// @return the most memory that the open occurrences take.
+  std::size_t state_bytes() const { return state_bytes_; }
+  /// @return jobs with an occurrence that waits for memory.
+  std::size_t deferred_jobs() const { return deferred_jobs_; }
 
  private:
   using job_entry = detail::job_state_entry;
@@ -234,7 +249,11 @@
   step_state* find_step(const step_key& key);
   run_state* find_run(const task_key& key, int number);
   void open_occurrence(job_entry& job, int number);
+  bool has_due_occurrence(const job_entry& job, unix_ms wall) const;
   void open_due_occurrences(time_point now, unix_ms wall);
+  void close_occurrence(job_entry& job, int number);
+  void close_complete_occurrences(job_entry& job);
+  void drop_runs(job_entry& job, int number);
   void complete_job_if_done(job_entry& job);
   bool is_ready(const step_state& step) const;
   static time_point ready_time(const step_state& step, time_point now);
@@ -424,6 +443,8 @@
   std::vector<order> orders_;
   std::vector<topic_record> job_removals_;
   std::vector<topic_record> progress_removals_;
+  std::size_t state_bytes_ = 0;
+  std::size_t deferred_jobs_ = 0;
   bool has_changes_ = true;
   bool starts_held_ = false;
   /// Work budget of the current plan, and how much of it is used.
--- a/packages/batch/src/job.cc
+++ b/packages/batch/src/job.cc
@@ -45,19 +45,6 @@
   return key;
 }
 
-std::size_t memory_of(const job_spec& spec) {
-  // The scheduler's state of a task that has not started yet.
-  constexpr std::size_t task_bytes = 200;
-  std::size_t bytes = sizeof(job_spec) + spec.payload.size();
-  for (const auto& step : spec.steps) {
-    bytes += sizeof(step_spec) + step.required_label.size() +
-             step.data_rack.size() + step.image.size() +
-             sizeof(int) * step.depends_on.size() +
-             task_bytes * static_cast<std::size_t>(step.count);
-  }
-  return bytes;
-}
-
 std::string find_problem(const job_spec& spec) {
   if (spec.steps.empty()) {
     return "a job must have at least one step";
--- a/packages/batch/src/job_directory.cc
+++ b/packages/batch/src/job_directory.cc
@@ -2,6 +2,8 @@
 
 #include <absl/strings/numbers.h>
 
+#include <utility>
+
 namespace vanillaladder::batch {
 
 job_state job_directory::entry::visible_state() const {
@@ -49,9 +51,18 @@
   }
 }
 
+void job_directory::keep_spec(entry& job, job_spec&& spec) {
+  job.spec = std::make_shared<const job_spec>(std::move(spec));
+  auto bytes = memory_of(*job.spec);
+  jobs_bytes_ += bytes;
+  recurring_bytes_ += job.spec->repeat_count > 0 ? bytes : 0;
+}
+
 void job_directory::drop_spec(entry& job) {
   if (job.spec != nullptr) {
-    memory_bytes_ -= memory_of(*job.spec);
+    auto bytes = memory_of(*job.spec);
+    jobs_bytes_ -= bytes;
+    recurring_bytes_ -= job.spec->repeat_count > 0 ? bytes : 0;
     job.spec.reset();
   }
 }
@@ -68,8 +79,7 @@
   }
   auto& job = entries_[id];
   job.status.queue = spec->queue;
-  job.spec = std::make_shared<const job_spec>(std::move(*spec));
-  memory_bytes_ += memory_of(*job.spec);
+  keep_spec(job, std::move(*spec));
   adjust_pending(job, 1);
   return has_ended(job.status.state) ? change::duplicate_job
                                      : change::job_added;
--- a/packages/batch/src/job_records.cc
+++ b/packages/batch/src/job_records.cc
@@ -187,6 +187,26 @@
   return key;
 }
 
+namespace {
+
+constexpr std::string_view completed_suffix = "/done";
+
+}  // namespace
+
+std::string to_string(const completed_key& key) {
+  return key.job + std::string(completed_suffix);
+}
+
+std::optional<completed_key> parse_completed_key(std::string_view text) {
+  if (!text.ends_with(completed_suffix)) {
+    return std::nullopt;
+  }
+  completed_key key{
+      std::string(text.substr(0, text.size() - completed_suffix.size()))};
+  bool is_id = !key.job.empty() && key.job.find('/') == std::string::npos;
+  return is_id ? std::optional(std::move(key)) : std::nullopt;
+}
+
 std::string encode(const job_spec& spec) {
   wire::job out;
   out.queue = spec.queue;
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -3,8 +3,10 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "batch/detail/scheduler_state.h"
+#include "batch/job_memory.h"
 
 namespace vanillaladder::batch {
 
@@ -49,28 +51,46 @@
   return work;
 }
 
-int job_state_entry::incomplete_occurrences() const {
-  return static_cast<int>(std::ranges::count_if(
-      occurrences,
-      [](const auto& occurrence) { return !occurrence.complete(); }));
+bool occurrence_state::has_runs() const {
+  return std::ranges::any_of(steps, [](const auto& step) {
+    return std::ranges::any_of(
+        step.tasks, [](const auto& task) { return !task.runs.empty(); });
+  });
 }
 
 bool job_state_entry::has_runs() const {
-  return std::ranges::any_of(occurrences, [](const auto& occurrence) {
-    return std::ranges::any_of(occurrence.steps, [](const auto& step) {
-      return std::ranges::any_of(
-          step.tasks, [](const auto& task) { return !task.runs.empty(); });
-    });
-  });
+  return std::ranges::any_of(occurrences, &occurrence_state::has_runs);
+}
+
+bool job_state_entry::is_open(int occurrence) const {
+  return std::ranges::find(occurrences, occurrence,
+                           &occurrence_state::number) != occurrences.end();
+}
+
+int job_state_entry::next_occurrence() const {
+  int number = completed.next_missing(0);
+  while (is_open(number)) {
+    number = completed.next_missing(number + 1);
+  }
+  return number;
 }
 
 }  // namespace detail
 
 namespace {
 
-/// Occurrences of one job that may be incomplete at the same time. A job whose
-/// occurrences fall due faster than they complete would fill the memory.
-constexpr int max_incomplete_occurrences = 100;
+/// Appends the removal of the stored progress of a step.
+void add_progress_removals(const detail::step_state& step,
+                           std::vector<topic_record>& removals) {
+  bool any = false;
+  for (int part = progress_part_of(step.spec->count - 1); part >= 0; --part) {
+    any = any || step.has_progress(part);
+    // Part 0 may hold all tasks, as written by an earlier version.
+    if (step.has_progress(part) || (part == 0 && any)) {
+      removals.push_back({to_string(progress_key{step.key, part}), ""});
+    }
+  }
+}
 
 /// @return whether the task has failed so often that its job fails.
 bool has_failed_too_often(const detail::step_state& step,
@@ -152,9 +172,8 @@
   set_deadlines(*job, job->arrived_at);
   observe_size(*job);
   job->surplus = shares_.is_surplus(spec->organisation, spec->accepted_at);
-  if (spec->repeat_count == 0) {
-    open_occurrence(*job, 0);
-  }
+  job->occurrence_bytes = batch::occurrence_bytes(*spec);
+  job->max_open = max_open_occurrences(*spec);
   jobs_.emplace(spec->id, std::move(job));
   has_changes_ = true;
 }
@@ -200,24 +219,83 @@
     step.remaining_chain = job.remaining_chains[n];
     step.task_work = job.task_works[n];
   }
-  job.occurrences_opened = std::max(job.occurrences_opened, number + 1);
+  state_bytes_ += job.occurrence_bytes;
+}
+
+/// @return whether the next occurrence of the job may be opened, apart from the
+///   memory that it takes.
+bool scheduler::has_due_occurrence(const job_entry& job, unix_ms wall) const {
+  if (has_ended(job.state) || job.cancelled ||
+      static_cast<int>(job.occurrences.size()) >= job.max_open) {
+    return false;
+  }
+  int next = job.next_occurrence();
+  const auto& spec = *job.spec;
+  auto due = spec.first_run_at + next * spec.interval.count();
+  return next < job.total_occurrences() &&
+         (spec.repeat_count == 0 || wall + options_.early_start.count() >= due);
 }
 
+/// Opens the due occurrences that fit into the memory, those of the jobs that
+/// came first before others.
 void scheduler::open_due_occurrences(time_point now, unix_ms wall) {
+  std::vector<job_entry*> due;
   for (auto& [id, job] : jobs_) {
-    const auto& spec = *job->spec;
-    while (!has_ended(job->state) && !job->cancelled &&
-           job->occurrences_opened < spec.repeat_count &&
-           job->incomplete_occurrences() < max_incomplete_occurrences) {
-      auto due =
-          spec.first_run_at + job->occurrences_opened * spec.interval.count();
-      if (wall + options_.early_start.count() < due) {
+    if (has_due_occurrence(*job, wall)) {
+      due.push_back(job.get());
+    }
+  }
+  std::ranges::stable_sort(due, {}, &job_entry::known_since);
+  std::size_t deferred = 0;
+  for (auto* job : due) {
+    while (has_due_occurrence(*job, wall)) {
+      if (state_bytes_ + job->occurrence_bytes > options_.max_state_bytes) {
+        ++deferred;
         break;
       }
-      open_occurrence(*job, job->occurrences_opened);
-      set_deadlines(*job, now);
+      open_occurrence(*job, job->next_occurrence());
+      if (job->spec->repeat_count > 0) {
+        set_deadlines(*job, now);
+      }
+    }
+  }
+  if (deferred != deferred_jobs_) {
+    log_event(absl::StrCat("jobs_deferred count=", deferred, " state_bytes=",
+                           state_bytes_, " limit=", options_.max_state_bytes));
+    deferred_jobs_ = deferred;
+  }
+}
+
+/// Stops to keep the state of an occurrence that has completed. Its record as
+/// one of the completed is stored before its progress is removed.
+void scheduler::close_occurrence(job_entry& job, int number) {
+  auto found = std::ranges::find(job.occurrences, number,
+                                 &detail::occurrence_state::number);
+  for (const auto& step : found->steps) {
+    add_progress_removals(step, progress_removals_);
+  }
+  job.occurrences.erase(found);
+  state_bytes_ -= job.occurrence_bytes;
+  if (!job.completed.contains(number)) {
+    job.completed.insert(number);
+    job.completed_dirty = true;
+  }
+}
+
+/// Closes the complete occurrences of a recurring job, which would add up.
+void scheduler::close_complete_occurrences(job_entry& job) {
+  if (job.spec->repeat_count == 0) {
+    return;
+  }
+  std::vector<int> complete;
+  for (const auto& occurrence : job.occurrences) {
+    if (occurrence.complete() && !occurrence.has_runs()) {
+      complete.push_back(occurrence.number);
     }
   }
+  for (int number : complete) {
+    close_occurrence(job, number);
+  }
 }
 
 bool scheduler::is_ready(const step_state& step) const {
@@ -350,9 +428,13 @@
   if (job == nullptr) {
     return false;
   }
-  while (job->occurrences_opened <= key.occurrence &&
-         key.occurrence < job->spec->repeat_count) {
-    open_occurrence(*job, job->occurrences_opened);
+  if (job->completed.contains(key.occurrence) ||
+      key.occurrence >= job->total_occurrences()) {
+    return false;
+  }
+  // Its runs may go on, so that it is opened however much memory is used.
+  if (!job->is_open(key.occurrence)) {
+    open_occurrence(*job, key.occurrence);
   }
   auto* step = find_step(key);
   if (step == nullptr) {
@@ -409,10 +491,56 @@
   complete_job_if_done(*job);
   if (has_ended(job->state)) {
     stop_all_runs(*job, now);
+  } else {
+    close_complete_occurrences(*job);
   }
   return true;
 }
 
+bool scheduler::restore_completed(const model::job_id& id,
+                                  const occurrence_set& completed) {
+  auto* job = find_job(id);
+  if (job == nullptr) {
+    return false;
+  }
+  mark_begun(*job);
+  job->completed = completed;
+  std::vector<int> closed;
+  for (const auto& occurrence : job->occurrences) {
+    if (completed.contains(occurrence.number)) {
+      closed.push_back(occurrence.number);
+    }
+  }
+  for (int number : closed) {
+    drop_runs(*job, number);
+    close_occurrence(*job, number);
+  }
+  complete_job_if_done(*job);
+  return true;
+}
+
+/// Drops the runs of an occurrence that is known to be complete.
+void scheduler::drop_runs(job_entry& job, int number) {
+  for (auto& occurrence : job.occurrences) {
+    if (occurrence.number != number) {
+      continue;
+    }
+    for (auto& step : occurrence.steps) {
+      for (int n = 0; n < step.spec->count; ++n) {
+        auto runs = step.tasks[static_cast<std::size_t>(n)].runs;
+        for (const auto& run : runs) {
+          remove_run(step, n, run.number);
+        }
+      }
+    }
+  }
+}
+
+void scheduler::remove_progress(const completed_key& key) {
+  progress_removals_.push_back({to_string(key), ""});
+  has_changes_ = true;
+}
+
 void scheduler::remove_progress(const progress_key& key) {
   progress_removals_.push_back({to_string(key), ""});
   has_changes_ = true;
@@ -436,16 +564,14 @@
 
 /// Completes the job once all its occurrences are complete.
 void scheduler::complete_job_if_done(job_entry& job) {
-  const auto& spec = *job.spec;
   if (has_ended(job.state)) {
     return;
   }
-  int total = std::max(1, spec.repeat_count);
-  int complete = 0;
+  int complete = job.completed.size();
   for (const auto& occurrence : job.occurrences) {
     complete += occurrence.complete() ? 1 : 0;
   }
-  if (complete == total) {
+  if (complete == job.total_occurrences()) {
     set_state(job, job_state::completed);
   }
 }
@@ -701,18 +827,13 @@
     }
     for (const auto& occurrence : job->occurrences) {
       for (const auto& step : occurrence.steps) {
-        bool any = false;
-        for (int part = progress_part_of(step.spec->count - 1); part >= 0;
-             --part) {
-          any = any || step.has_progress(part);
-          // Part 0 may hold all tasks, as written by an earlier version.
-          if (step.has_progress(part) || (part == 0 && any)) {
-            out.progress.push_back(
-                {to_string(progress_key{step.key, part}), ""});
-          }
-        }
+        add_progress_removals(step, out.progress);
       }
     }
+    if (!job->completed.empty()) {
+      out.progress.push_back({to_string(completed_key{id}), ""});
+    }
+    state_bytes_ -= job->occurrences.size() * job->occurrence_bytes;
     out.jobs.push_back({to_string(job_record_key{record_kind::job, id}), ""});
     purged.push_back(id);
   }
@@ -737,6 +858,13 @@
   place(now, out.orders);
   has_changes_ = has_changes_ || is_budget_exhausted();
   for (auto& [id, job] : jobs_) {
+    if (!has_ended(job->state)) {
+      close_complete_occurrences(*job);
+    }
+    if (std::exchange(job->completed_dirty, false)) {
+      out.progress.push_back(
+          {to_string(completed_key{id}), to_string(job->completed)});
+    }
     for (auto& occurrence : job->occurrences) {
       for (auto& step : occurrence.steps) {
         // Part 0 last: it may replace a record that holds all tasks, and a
--- a/packages/batch/test/scheduler_fixture.h
+++ b/packages/batch/test/scheduler_fixture.h
@@ -67,6 +67,9 @@
         scheduler_->restore_progress(parsed->step, progress.tasks, now_,
                                      parsed->part,
                                      milliseconds(wall() - progress.stored_at));
+      } else if (auto completed = parse_completed_key(key)) {
+        scheduler_->restore_completed(completed->job,
+                                      *parse_occurrence_set(value));
       }
     }
     for (auto& [id, worker] : workers) {
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <deque>
 #include <iterator>
+#include <span>
 #include <utility>
 #include <variant>
 
@@ -34,6 +35,8 @@
 /// Starts of one plan, for the same reason. Enough for 700 starts/s while the
 /// store takes 0.7 s for an append.
 constexpr std::size_t max_starts_per_plan = 512;
+/// Progress that is read before the jobs are known.
+constexpr std::size_t max_early_bytes = 4U << 20;
 /// How often the states of jobs that ended long ago are removed.
 constexpr std::chrono::seconds sweep_interval{10};
 constexpr std::chrono::seconds organisation_report_interval{1};
@@ -68,7 +71,11 @@
   void on_topic_loaded(std::string_view topic);
   model::milliseconds since_start() const;
   void load_progress(const std::string& after);
-  void restore();
+  void begin_restore();
+  void restore_records(std::span<const batch::topic_record> records);
+  bool restore_record(const batch::topic_record& record);
+  void finish_restore();
+  void apply_config();
   void take_over();
   void link_workers(std::vector<model::worker_id> ids);
   void update_closed_domains();
@@ -97,6 +104,7 @@
   void tick();
   void report_organisations();
   void report_look_ahead();
+  void report_memory();
   void sweep();
   void on_superseded(std::string_view noticed_by);
   void defer(std::chrono::milliseconds pause, std::function<void()> step);
@@ -121,7 +129,14 @@
   work_timer plan_timer;
   work_timer send_timer;
   std::unique_ptr<worker_links> links;
-  std::vector<batch::topic_record> progress_records;
+  /// Progress that was read before the jobs were known.
+  std::vector<batch::topic_record> early_records;
+  std::size_t early_bytes = 0;
+  /// Reads the next page of the progress, held until the jobs are known.
+  std::function<void()> held_page;
+  bool jobs_restored = false;
+  std::int64_t records_restored = 0;
+  std::int64_t records_unreadable = 0;
   rising_timeout page_timeout = make_page_timeout();
   absl::flat_hash_map<std::string, batch::worker_entry> workers;
   model::time_point started = boot_now();
@@ -180,8 +195,12 @@
       [self = shared_from_this()](const absl::StatusOr<model::offset>& end) {
         if (self->on_writer_opened(end.status())) {
           self->context.jobs_follower.refresh([](bool) {});
-          self->context.jobs_follower.when_reached(
-              *end, [self] { self->on_topic_loaded("jobs"); });
+          self->context.jobs_follower.when_reached(*end, [self] {
+            if (!self->stopped) {
+              self->begin_restore();
+              self->on_topic_loaded("jobs");
+            }
+          });
         }
       });
 }
@@ -238,13 +257,18 @@
           return;
         }
         self->page_timeout.on_answered();
-        self->progress_records.insert(self->progress_records.end(),
-                                      page->records.begin(),
-                                      page->records.end());
-        if (page->more && !page->records.empty()) {
-          self->load_progress(page->records.back().key);
-        } else {
+        self->restore_records(page->records);
+        if (!page->more || page->records.empty()) {
           self->on_topic_loaded("progress");
+          return;
+        }
+        auto next = [self = self.get(), last = page->records.back().key] {
+          self->load_progress(last);
+        };
+        if (self->early_bytes > max_early_bytes) {
+          self->held_page = next;
+        } else {
+          next();
         }
       });
 }
@@ -277,29 +301,74 @@
   }
 }
 
-void leader::impl::restore() {
-  auto timing = restore_timer.begin();
+void leader::impl::apply_config() {
   scheduler.set_queues(context.config.policies());
   scheduler.set_organisations(context.config.organisation_policies());
   update_closed_domains();
+}
+
+/// Restores the jobs, and the progress that was read before them.
+void leader::impl::begin_restore() {
+  auto timing = restore_timer.begin();
+  apply_config();
   scheduler.inherit_lost_workers(context.lost_workers);
   restore_jobs();
-  auto wall = wall_now();
-  int unreadable = 0;
-  for (const auto& record : progress_records) {
-    auto key = batch::parse_progress_key(record.key);
-    auto progress = batch::decode_progress(record.value);
-    if (!key || !progress.ok()) {
-      ++unreadable;
-      continue;
+  jobs_restored = true;
+  restore_records(std::exchange(early_records, {}));
+  early_bytes = 0;
+  if (auto next = std::exchange(held_page, nullptr)) {
+    next();
+  }
+}
+
+/// Restores a page of the progress. All pages together may take more memory
+/// than what they are restored to.
+void leader::impl::restore_records(
+    std::span<const batch::topic_record> records) {
+  if (!jobs_restored) {
+    early_records.insert(early_records.end(), records.begin(), records.end());
+    for (const auto& record : records) {
+      early_bytes += external::record_bytes(record);
     }
-    bool has_age = progress->stored_at > 0 && progress->stored_at < wall;
-    batch::milliseconds age(has_age ? wall - progress->stored_at : 0);
-    if (!scheduler.restore_progress(key->step, progress->tasks, boot_now(),
-                                    key->part, age)) {
-      scheduler.remove_progress(*key);
+    return;
+  }
+  auto timing = restore_timer.begin();
+  for (const auto& record : records) {
+    ++records_restored;
+    records_unreadable += restore_record(record) ? 0 : 1;
+  }
+}
+
+/// @return false if the record can't be read.
+bool leader::impl::restore_record(const batch::topic_record& record) {
+  if (auto completed = batch::parse_completed_key(record.key)) {
+    auto occurrences = batch::parse_occurrence_set(record.value);
+    if (occurrences &&
+        !scheduler.restore_completed(completed->job, *occurrences)) {
+      scheduler.remove_progress(*completed);
     }
+    return occurrences.has_value();
+  }
+  auto key = batch::parse_progress_key(record.key);
+  auto progress = batch::decode_progress(record.value);
+  if (!key || !progress.ok()) {
+    return false;
   }
+  auto wall = wall_now();
+  bool has_age = progress->stored_at > 0 && progress->stored_at < wall;
+  batch::milliseconds age(has_age ? wall - progress->stored_at : 0);
+  if (!scheduler.restore_progress(key->step, progress->tasks, boot_now(),
+                                  key->part, age)) {
+    scheduler.remove_progress(*key);
+  }
+  return true;
+}
+
+/// Completes the restored state with what has changed since `begin_restore`.
+void leader::impl::finish_restore() {
+  auto timing = restore_timer.begin();
+  apply_config();
+  restore_jobs();
   for (const auto& entry : context.unlisted_workers) {
     scheduler.on_earlier_entry(entry.info.id, entry.incarnation, boot_now());
   }
@@ -313,20 +382,20 @@
       scheduler.cancel_job(id, boot_now());
     }
   });
-  if (unreadable > 0) {
-    context.report.event(
-        "leader", absl::StrCat("progress_unreadable records=", unreadable));
+  if (records_unreadable > 0) {
+    context.report.event("leader", absl::StrCat("progress_unreadable records=",
+                                                records_unreadable));
   }
 }
 
 void leader::impl::take_over() {
-  restore();
+  finish_restore();
   context.report.event(
       "leader",
       absl::StrCat("took_over epoch=", epoch, " jobs=", scheduler.jobs(),
-                   " steps=", progress_records.size(), " workers=",
-                   workers.size(), " took_ms=", since_start().count()));
-  progress_records.clear();
+                   " steps=", records_restored, " workers=", workers.size(),
+                   " state_bytes=", scheduler.state_bytes(),
+                   " took_ms=", since_start().count()));
   links = std::make_unique<worker_links>(
       context.loop, *gateway, scheduler, epoch, options.links,
       link_permissions{context.may_act,
@@ -373,6 +442,7 @@
   }
   report_organisations();
   report_look_ahead();
+  report_memory();
   send_unplanned_orders();
   plan();
 }
@@ -414,6 +484,14 @@
       .set(static_cast<double>(counts.backfilled_starts));
 }
 
+void leader::impl::report_memory() {
+  auto& metrics = context.report.metrics();
+  metrics.gauge("vanillaladder_job_state_bytes")
+      .set(static_cast<double>(scheduler.state_bytes()));
+  metrics.gauge("vanillaladder_deferred_jobs")
+      .set(static_cast<double>(scheduler.deferred_jobs()));
+}
+
 /// Sends the orders that need no stored record, such as stops. They don't wait
 /// for the append in flight, which may have no answer for long.
 void leader::impl::send_unplanned_orders() {
@@ -671,10 +749,7 @@
 
 void leader::on_config() {
   if (impl_->active) {
-    impl_->scheduler.set_queues(impl_->context.config.policies());
-    impl_->scheduler.set_organisations(
-        impl_->context.config.organisation_policies());
-    impl_->update_closed_domains();
+    impl_->apply_config();
     impl_->request_plan();
   }
 }
--- a/packages/dispatch/test/leader_test.cc
+++ b/packages/dispatch/test/leader_test.cc
@@ -91,6 +91,49 @@
   }
 }
 
+// Guards against a takeover that holds all stored progress at a time, in which
+// the records of an earlier version take more memory than their occurrences.
+TEST_CASE("a leader restores each page of the progress as it is read") {
+  daemon_fixture f;
+  gateway_calls calls;
+  batch::job_spec spec;
+  spec.id = std::string("job");
+  spec.queue = "queue";
+  spec.policy.service = "svc";
+  spec.steps.push_back({.count = 1, .required_resources = {1000, 100, 0}});
+  spec.repeat_count = 1000;
+  f.store.topic.push_back({"j/job", encode(spec)});
+  for (int n = 0; n < 300; ++n) {
+    f.store.topic.push_back({to_string(batch::progress_key{{"job", n, 0}, 0}),
+                             batch::encode(std::vector<batch::task_record>{
+                                 {0, true, 1, 0, "", {}}})});
+  }
+  f.store.keys_per_page = 50;
+  f.store.unreadable_after = "never";
+  start_gate starts({}, f.report);
+  leader_context context{f.loop,
+                         f.store,
+                         f.jobs,
+                         f.config,
+                         f.follower,
+                         f.report,
+                         [] { return true; },
+                         starts,
+                         [](std::string_view) {}};
+  f.run_until([&] { return f.jobs.find("job") != nullptr; });
+  leader lead(std::move(context), {}, std::make_unique<silent_gateway>(calls),
+              1);
+  lead.start();
+  f.run_until([&] { return lead.active(); });
+  auto stored = [&](const std::string& key) {
+    auto found =
+        std::ranges::find(f.store.topic, key, &batch::topic_record::key);
+    return found == f.store.topic.end() ? "" : found->value;
+  };
+  f.run_until([&] { return !stored("job/done").empty(); });
+  CHECK(stored("job/done") == "0-299");
+}
+
 // Guards against a leader whose lease is valid, but whose copies of the topics
 // are old: the lease rests on appends, which may be answered while reads are
 // not.
