dispatch: accept jobs by the memory that they take

Cause: a job counted as 200 bytes a task and one occurrence. Steps, runs, appends in flight, ids of ended jobs and cancels of unknown ids didn't count, nor what other daemons had accepted since the last read; large jobs left no room for small ones.

Change: job_admission decides by memory_of. A job may take half of the free memory times the share that is free; recurring jobs leave half of the memory to others. Refused with 504 and a text (nothing denies an earlier attempt), or 400 if the job would not fit into empty daemons. Cancels of unknown ids have a bound of their own.

job_service_test "jobs beyond the memory for jobs are refused" asks for the outcome no_memory, which tells this refusal from others.

Tests: job_admission_test.cc and three cases of job_service_test.cc use the new interface and were not run without the change.

--- a/packages/dispatch/include/dispatch/job_service.h
+++ b/packages/dispatch/include/dispatch/job_service.h
@@ -12,6 +12,7 @@
 #include "dispatch/append_batcher.h"
 #include "dispatch/call_routing.h"
 #include "dispatch/fleet_config.h"
+#include "dispatch/job_admission.h"
 #include "dispatch/reporter.h"
 #include "dispatch/submission_outcomes.h"
 #include "dispatch/topic_follower.h"
@@ -54,16 +55,12 @@
   /// Maximum age of a count of pending jobs; a copy that may be older when it
   /// is shown is read first.
   static constexpr std::chrono::milliseconds max_pending_age{2000};
-  /// Memory that the jobs of all callers may take, as each daemon has a copy of
-  /// them and the leader keeps the state of their tasks. The smallest instance
-  /// has 160 MiB; 119,700 tasks take 24 MB.
-  static constexpr std::size_t max_jobs_bytes = 64U << 20;
-
   /// @param loop must outlive the service, as must `store`, `jobs`, `config`
   ///   and `follower`.
   /// @param on_stored_record applies a record that this daemon has appended.
   /// @param operators follower of the operators' topic, which `config` is a
   ///   copy of; if null, the copy counts as current.
+  /// @param admission decides which jobs are accepted.
   job_service(http::event_loop& loop, external::keyed_store& store,
               const batch::job_directory& jobs, const config_view& config,
               topic_follower& follower,
@@ -71,7 +68,8 @@
                   on_stored_record,
               reporter report, const external::store_limits& limits = {},
               topic_follower* operators = nullptr,
-              const access_options& access = {});
+              const access_options& access = {},
+              const job_admission& admission = job_admission());
 
   /// Decides by the copy of the configuration whether a call may use a queue.
   call_route route(const call_credentials& call) const;
@@ -119,7 +117,12 @@
       const model::job_id& id) const;
   void wait_for_store(waiting_submission submission);
   void check_waiting();
+  jobs_memory used_memory() const;
+  bool must_read_jobs(const batch::job_spec& spec);
+  void store_submission(const queue_route& queue, batch::job_spec spec,
+                        std::function<void(submit_result)> done);
   void end_unsent(const model::job_id& id, std::string_view reason,
+                  submit_result result,
                   const std::function<void(submit_result)>& done) const;
   bool is_current(const batch::job_directory::entry& job) const;
   void show_known_job(const model::job_id& id,
@@ -143,6 +146,12 @@
   std::vector<std::function<void()>> config_waiters_;
   std::uint64_t config_read_ = 0;
   submission_outcomes outcomes_;
+  job_admission admission_;
+  /// Memory of the jobs whose appends are in flight.
+  jobs_memory in_flight_;
+  /// Memory of the jobs accepted on the copy of the topic as of a time.
+  std::size_t accepted_on_copy_ = 0;
+  model::time_point copy_as_of_;
   /// Oldest first.
   std::deque<waiting_submission> waiting_;
 };
--- a/packages/dispatch/include/dispatch/submission_outcomes.h
+++ b/packages/dispatch/include/dispatch/submission_outcomes.h
@@ -17,8 +17,12 @@
   not_stored,
   /// This call may have stored the job, or may still do so.
   unknown,
+  /// As `not_stored`: the memory for jobs is used up.
+  no_memory,
   /// The job is not stored: its record is larger than the store takes.
   too_large,
+  /// The job is not stored: it takes more memory than daemons have for jobs.
+  exceeds_memory,
 };
 
 /// Remembers the jobs whose submission at this daemon has no known outcome yet
--- a/packages/dispatch/src/job_service.cc
+++ b/packages/dispatch/src/job_service.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "batch/job_memory.h"
 #include "batch/job_records.h"
 #include "dispatch/clock.h"
 #include "runtime/error.h"
@@ -23,7 +24,8 @@
     topic_follower& follower,
     std::function<void(std::string_view, std::string_view)> on_stored_record,
     reporter report, const external::store_limits& limits,
-    topic_follower* operators, const access_options& access)
+    topic_follower* operators, const access_options& access,
+    const job_admission& admission)
     : loop_(&loop),
       appends_(loop, store, std::string(batch::jobs_topic), limits),
       jobs_(&jobs),
@@ -33,7 +35,8 @@
       report_(report),
       max_record_bytes_(limits.max_record_bytes),
       operators_(operators),
-      access_(access) {}
+      access_(access),
+      admission_(admission) {}
 
 /// @return the job, or null if no record of it is known. A cancellation alone
 ///   does not count.
@@ -111,8 +114,51 @@
         {queue, std::move(spec), std::move(done), boot_now() + max_store_wait});
     return;
   }
-  if (jobs_->memory_bytes() + memory_of(spec) > max_jobs_bytes) {
-    end_unsent(spec.id, "jobs_memory", done);
+  if (!must_read_jobs(spec)) {
+    store_submission(queue, std::move(spec), std::move(done));
+    return;
+  }
+  follower_->refresh(
+      [this, queue, spec = std::move(spec), done = std::move(done)](bool) {
+        store_submission(queue, spec, done);
+      },
+      max_refresh_time);
+}
+
+/// @return the memory of the jobs that are stored or may be stored by appends
+///   in flight.
+jobs_memory job_service::used_memory() const {
+  return {jobs_->memory_bytes() + in_flight_.all,
+          jobs_->recurring_bytes() + in_flight_.recurring};
+}
+
+/// @return whether a job takes so much memory that what other daemons have
+///   accepted must be known first.
+bool job_service::must_read_jobs(const batch::job_spec& spec) {
+  if (auto as_of = follower_->current_as_of(); as_of != copy_as_of_) {
+    copy_as_of_ = as_of;
+    accepted_on_copy_ = 0;
+  }
+  return boot_now() - copy_as_of_ >= max_shown_age &&
+         !admission_.may_use_old_copy(accepted_on_copy_ + memory_of(spec),
+                                      used_memory());
+}
+
+/// Stores a job if there is memory for it.
+void job_service::store_submission(const queue_route& queue,
+                                   batch::job_spec spec,
+                                   std::function<void(submit_result)> done) {
+  if (find_submitted(spec.id) != nullptr) {
+    done(submit_result::accepted);
+    return;
+  }
+  auto decision = admission_.decide(spec, used_memory());
+  if (decision == job_admission::decision::too_large) {
+    end_unsent(spec.id, "exceeds_memory", submit_result::exceeds_memory, done);
+    return;
+  }
+  if (decision == job_admission::decision::no_memory) {
+    end_unsent(spec.id, "jobs_memory", submit_result::no_memory, done);
     return;
   }
   spec.queue = queue.name;
@@ -132,9 +178,16 @@
     return;
   }
   outcomes_.begin(spec.id);
+  jobs_memory memory{memory_of(spec), 0};
+  memory.recurring = spec.repeat_count > 0 ? memory.all : 0;
+  in_flight_.all += memory.all;
+  in_flight_.recurring += memory.recurring;
+  accepted_on_copy_ += memory.all;
   appends_.add(
-      record, [this, record, id = spec.id, sent = boot_now(),
+      record, [this, record, memory, id = spec.id, sent = boot_now(),
                done = std::move(done)](absl::StatusOr<model::offset> end) {
+        in_flight_.all -= memory.all;
+        in_flight_.recurring -= memory.recurring;
         auto took =
             std::chrono::duration_cast<model::milliseconds>(boot_now() - sent);
         auto result = submit_result::unknown;
@@ -161,13 +214,14 @@
 
 /// Ends a submission of which nothing is sent to the store.
 void job_service::end_unsent(
-    const model::job_id& id, std::string_view reason,
+    const model::job_id& id, std::string_view reason, submit_result result,
     const std::function<void(submit_result)>& done) const {
   report_.count("vanillaladder_submissions_refused_total", "reason", reason);
   report_.routine("desk", absl::StrCat("submit_refused id=", id,
                                        " reason=", std::string(reason),
-                                       " jobs_bytes=", jobs_->memory_bytes()));
-  done(submit_result::not_stored);
+                                       " jobs_bytes=", jobs_->memory_bytes(),
+                                       " budget=", admission_.budget()));
+  done(result);
 }
 
 void job_service::wait_for_store(waiting_submission submission) {
@@ -194,7 +248,8 @@
     if (is_responsive) {
       submit(each.queue, std::move(each.spec), std::move(each.done));
     } else {
-      end_unsent(each.spec.id, "store_away", each.done);
+      end_unsent(each.spec.id, "store_away", submit_result::not_stored,
+                 each.done);
     }
   }
 }
@@ -280,6 +335,12 @@
       done(stored);
       return;
     }
+    if (!admission_.has_room_for_cancellation(used_memory())) {
+      report_.count("vanillaladder_cancels_refused_total", "reason",
+                    "jobs_memory");
+      done(cancel_result::unavailable);
+      return;
+    }
     store_cancellation(
         id, [stored, done = std::move(done)](cancel_result result) {
           done(result == cancel_result::cancelled ? stored : result);
--- a/packages/dispatch/src/scheduling_daemon.cc
+++ b/packages/dispatch/src/scheduling_daemon.cc
@@ -8,6 +8,7 @@
 #include "batch/job_records.h"
 #include "batch/lease_bound.h"
 #include "dispatch/clock.h"
+#include "dispatch/job_admission.h"
 #include "runtime/error.h"
 
 namespace vanillaladder::dispatch {
@@ -65,6 +66,10 @@
           }};
 }
 
+std::size_t jobs_budget(const daemon_settings& settings) {
+  return job_admission::budget_of(settings.memory_mib << 20U);
+}
+
 leadership_options leadership_options_of(const daemon_settings& settings) {
   leadership_options options;
   // A restarted process must have a different id than its predecessor.
@@ -119,7 +124,8 @@
             jobs_follower_.note_stored(key);
             apply_job(key, value);
           },
-          report, settings.store_limits, &operator_follower_, settings.access),
+          report, settings.store_limits, &operator_follower_, settings.access,
+          job_admission(jobs_budget(settings))),
       leadership_(loop, store, leadership_options_of(settings),
                   {[this](model::epoch epoch) { start_leader(epoch); },
                    [this] { stop_leader(); }, [this] { return can_lead(); },
@@ -326,6 +332,7 @@
   options.scheduling.state_retention = 2 * settings_.state_retention;
   options.scheduling.early_start = settings_.early_start / 2;
   options.scheduling.look_ahead = settings_.look_ahead;
+  options.scheduling.max_state_bytes = jobs_budget(settings_);
   options.scheduling.move_cost =
       settings_.run_stop_time + settings_.restore_time;
   options.links.lease_duration = lease;
--- a/packages/dispatch/test/job_service_test.cc
+++ b/packages/dispatch/test/job_service_test.cc
@@ -134,8 +134,77 @@
     f.run_until([&] { return result.has_value(); });
     last = *result;
   }
-  REQUIRE(last == submit_result::not_stored);
-  REQUIRE(f.jobs.memory_bytes() <= job_service::max_jobs_bytes);
+  REQUIRE(last == submit_result::no_memory);
+  REQUIRE(f.jobs.memory_bytes() <= job_admission::max_budget);
+}
+
+// Guards against jobs that fill the memory before the store has answered: each
+// is accepted as if the others were not on their way.
+TEST_CASE("jobs that are about to be stored count against the memory") {
+  fixture f;
+  int not_stored = 0;
+  int answers = 0;
+  for (int n = 0; n < 100; ++n) {
+    batch::job_spec spec;
+    spec.id = "a" + std::to_string(n);
+    spec.steps = {{.count = batch::max_tasks_per_job / 2}};
+    f.service.submit(f.queue, spec, [&](submit_result made) {
+      ++answers;
+      not_stored += made == submit_result::no_memory ? 1 : 0;
+    });
+  }
+  f.run_until([&] { return answers == 100; });
+  CHECK(not_stored > 90);
+  CHECK(f.jobs.memory_bytes() <= job_admission::max_budget);
+}
+
+// The same for jobs that other daemons have accepted since the last read.
+TEST_CASE("a large job waits for a read of what other daemons accepted") {
+  fixture f;
+  auto elapse = [&](std::chrono::milliseconds time) {
+    bool elapsed = false;
+    f.loop.call_after(time, [&] { elapsed = true; });
+    f.run_until([&] { return elapsed; });
+  };
+  // The read that waits for records is not answered any longer.
+  f.store.unresponsive = true;
+  elapse(2 * job_service::max_shown_age);
+  f.store.unresponsive = false;
+  batch::job_spec spec;
+  spec.steps = {{.count = batch::max_tasks_per_job}};
+  for (const char* id : {"b", "c"}) {
+    spec.id = id;
+    f.store.topic.push_back({"j/" + spec.id, batch::encode(spec)});
+  }
+  spec.id = "a";
+  std::optional<submit_result> result;
+  f.service.submit(f.queue, spec, [&](submit_result made) { result = made; });
+  f.run_until([&] { return result.has_value(); });
+  CHECK(result == submit_result::no_memory);
+  CHECK(f.jobs.find("b") != nullptr);
+}
+
+// Guards against cancellations of jobs that nobody has submitted: they are kept
+// in case that a submission takes effect later.
+TEST_CASE("cancellations of unknown jobs are bounded") {
+  fixture f;
+  batch::job_spec spec;
+  spec.steps = {{.count = batch::max_tasks_per_job}};
+  for (int n = 0; n < 4; ++n) {
+    f.jobs.apply("j/" + std::to_string(n), batch::encode(spec));
+  }
+  REQUIRE(f.jobs.memory_bytes() > job_admission::max_budget);
+  auto cancel = [&](const std::string& id) {
+    std::optional<cancel_result> result;
+    f.service.cancel(id, [&](cancel_result made) { result = made; });
+    f.run_until([&] { return result.has_value(); });
+    return *result;
+  };
+  auto before = f.store.appends;
+  CHECK(cancel("unknown") == cancel_result::unavailable);
+  CHECK(f.store.appends == before);
+  // A job that is known can always be cancelled.
+  CHECK(cancel("0") == cancel_result::cancelled);
 }
 
 // Guards against a wrong count for callers while the store is away.
