spec: model what a new leader knows of runs on later processes

Before the wait is shortened, its bound is modelled.

lives.pml gets changes of the leader (CHANGES). The store tells the new leader the run, the process that it was meant for, and whether it is settled: that process has listed it, and all of its starts were answered. The list of lost workers carries both bounds of its predecessor on.

Each guard is needed: every run taken for settled (NO_SETTLED_RUN), a run listed by any process (NO_LISTING_PROCESS), unanswered attempts ignored (NO_STORED_ATTEMPT), only the usual bound in the list (NO_LATER_BOUND_IN_LIST) each give two runs at a time.

Conclusion: a settled run ends with its process or its lease, also for a new leader.

--- a/spec/lives.pml
+++ b/spec/lives.pml
@@ -12,6 +12,13 @@
  * a run that was listed in a report and whose starts were all answered, the
  * later of both for any other once a later process is expected.
  *
+ * A leader may be followed by another one (CHANGES). The store tells the new one
+ * the run, the process that it was meant for, and whether it is settled: that
+ * process has listed it, and all of its starts were answered. The new leader
+ * waits for a later process unless the run is settled, and counts `given` and
+ * `later` from its takeover, or on from where its predecessor was if that had
+ * listed the worker as lost: such a worker gets no calls.
+ *
  * Assumed; without each of the first two there is a counterexample (see
  * lives.runs), so that the rules alone do not exclude these cases:
  * - ANY_RESTART: a process that the leader has reached under a raised token, or
@@ -23,9 +30,8 @@
  *   within a tick; start times of processes rise; requests under a raised token
  *   take effect at once or not at all.
  *
- * Left out: a change of the leader, and with it the processes that the stored
- * runs name; clocks, so that the first answer of another process always counts
- * as a lease of LONGEST; stops as calls of their own, paces, failed ends, gangs,
+ * Left out: clocks, so that the first answer of another process always counts
+ * as a lease of LONGEST, as does the first answer to a new leader; stops as calls of their own, paces, failed ends, gangs,
  * capacity and the store. Only worker 0 crashes and loses contact. Nothing is
  * requested once the task is done. A start in transit when an earlier run turns
  * out to be done may still begin: for that only the leader's decision is checked.
@@ -39,7 +45,10 @@
 #ifndef REPEATS
 #define REPEATS 0           /* times that a start may be sent again */
 #endif
-#define TOKENS (PROCESSES + 1)
+#ifndef CHANGES
+#define CHANGES 0           /* of the leader */
+#endif
+#define TOKENS (PROCESSES + 1 + CHANGES)
 #define WORKERS 2
 #ifndef CALLS
 #define CALLS 2
@@ -76,6 +85,29 @@
 byte number, place, attempts;
 bool alive, answered, is_listed, all_answered, done;
 bool told_done;             /* a report has listed an end as done */
+#if CHANGES > 0
+byte changes;
+byte meant;                 /* process that the last run was meant for */
+bool listed_by_meant;       /* that process has listed the run */
+bool settled;               /* as the store tells a new leader */
+bool is_new;                /* the leader has not heard of worker 0 */
+bool is_lost;               /* worker 0 is on the list of lost workers */
+#ifdef NO_LISTING_PROCESS
+#define IS_SETTLED (is_listed && all_answered)
+#elif defined(NO_STORED_ATTEMPT)
+#define IS_SETTLED listed_by_meant
+#else
+#define IS_SETTLED (listed_by_meant && all_answered)
+#endif
+#ifdef NO_SETTLED_RUN
+#define TAKEN_AS_SETTLED true
+#else
+#define TAKEN_AS_SETTLED settled
+#endif
+#define LEASE_IS_USUAL(w) (given[w] <= GIVEN)
+#else
+#define LEASE_IS_USUAL(w) true
+#endif
 
 #define MAX(a, b) ((a) > (b) -> (a) : (b))
 #ifdef NO_LATE_CALL_WAIT
@@ -191,6 +223,9 @@
 inline end_run() {
   alive = false; answered = false; is_listed = false; all_answered = false;
   attempts = 0; place = 0
+#if CHANGES > 0
+  ; meant = 0; listed_by_meant = false; settled = false
+#endif
 }
 
 /* A report: its ends, then its runs; the confirmation of the ends follows. */
@@ -214,6 +249,9 @@
   if
   :: running[w] != 0 && alive && place == w && running[w] == number ->
      is_listed = true; answered = true
+#if CHANGES > 0
+     ; listed_by_meant = listed_by_meant || process[w] == meant
+#endif
   :: running[w] != 0 && !(alive && place == w && running[w] == number) ->
      running[w] = 0         /* not known: stopped */
   :: running[w] == 0 && alive && place == w && (answered || proves_absence) ->
@@ -280,9 +318,12 @@
   :: atomic { !alive && !done && number < RUNS ->
        if :: w = 0 :: w = 1 fi;
        if
-       :: verified[w] ->
+       :: verified[w] && LEASE_IS_USUAL(w) ->
           assert(!told_done);
           number++; place = w; alive = true; all_answered = true;
+#if CHANGES > 0
+          meant = known[w];
+#endif
           send_start(w)
        :: else
        fi; w = 0 }
@@ -310,10 +351,46 @@
        mark_void(0);
        if
        :: process[0] != known[0] -> given[0] = LONGEST
+#if CHANGES > 0
+       :: process[0] == known[0] && is_new -> given[0] = LONGEST
+#endif
        :: else
        fi;
+#if CHANGES > 0
+       is_new = false;
+#endif
        known[0] = process[0]; expected[0] = false; verified[0] = true;
        apply_report(0, true) }
+#if CHANGES > 0
+  /* Stores that a run is settled. */
+  :: atomic { alive && IS_SETTLED && !settled -> settled = true }
+  /* Another leader follows. */
+  :: atomic { changes < CHANGES && !done ->
+       changes++;
+       is_new = true; is_lost = !verified[0]; verified[0] = false; token[1]++;
+       given[1] = GIVEN; later[1] = LATE_WAIT + LONGEST;
+       if
+       :: is_lost ->
+#ifdef NO_LATER_BOUND_IN_LIST
+          later[0] = given[0]
+#else
+          skip
+#endif
+       :: given[0] = GIVEN; later[0] = LATE_WAIT + LONGEST
+       fi;
+       is_lost = false;
+       expected[0] = false;
+       if
+       :: alive ->
+          is_listed = TAKEN_AS_SETTLED; all_answered = TAKEN_AS_SETTLED;
+          listed_by_meant = settled; answered = true; attempts = REPEATS + 1;
+          if
+          :: place == 0 -> known[0] = meant; expected[0] = (listed[0] > meant)
+          :: else
+          fi
+       :: else
+       fi }
+#endif
   /* Gives a run up. */
   :: atomic { alive && given[place] == 0 && IS_LISTED(place) &&
               (!COUNTS_LATER(place) || later[place] == 0) ->
