batch: tell a new leader which runs no later process can start

Cause: a run that its process has listed, and whose starts were all answered, ends with that process. The leader knew that, but did not store it: its successor took each run for one that the later process may have got by a late call, and waited for 13 s and the longest lease.

Ruled out: the list of lost workers (it names 5.7 s, also in the case); the detection of the loss (the first leader starts the tasks elsewhere after 4.9 s); room.

Change: a run is settled once the process that its start was meant for has listed it and each attempt was answered.

Without the condition on unanswered attempts or on the listing process, "a new leader waits for a start that may still take effect" fails.

--- a/packages/batch/gen/batch_records_types.cpp
+++ b/packages/batch/gen/batch_records_types.cpp
@@ -927,6 +927,11 @@
 void run::__set_life(const int64_t val) {
   this->life = val;
 }
+
+void run::__set_settled(const bool val) {
+  this->settled = val;
+__isset.settled = true;
+}
 std::ostream& operator<<(std::ostream& out, const run& obj)
 {
   obj.printTo(out);
@@ -979,6 +984,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->settled);
+          this->__isset.settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1008,6 +1021,11 @@
   xfer += oprot->writeI64(this->life);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.settled) {
+    xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->settled);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1018,6 +1036,7 @@
   swap(a.number, b.number);
   swap(a.worker, b.worker);
   swap(a.life, b.life);
+  swap(a.settled, b.settled);
   swap(a.__isset, b.__isset);
 }
 
@@ -1025,12 +1044,14 @@
   number = other18.number;
   worker = other18.worker;
   life = other18.life;
+  settled = other18.settled;
   __isset = other18.__isset;
 }
 run& run::operator=(const run& other19) {
   number = other19.number;
   worker = other19.worker;
   life = other19.life;
+  settled = other19.settled;
   __isset = other19.__isset;
   return *this;
 }
@@ -1040,6 +1061,7 @@
   out << "number=" << to_string(number);
   out << ", " << "worker=" << to_string(worker);
   out << ", " << "life=" << to_string(life);
+  out << ", " << "settled="; (__isset.settled ? (out << to_string(settled)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/batch/gen/batch_records_types.h
+++ b/packages/batch/gen/batch_records_types.h
@@ -367,10 +367,11 @@
 std::ostream& operator<<(std::ostream& out, const job& obj);
 
 typedef struct _run__isset {
-  _run__isset() : number(false), worker(false), life(false) {}
+  _run__isset() : number(false), worker(false), life(false), settled(false) {}
   bool number :1;
   bool worker :1;
   bool life :1;
+  bool settled :1;
 } _run__isset;
 
 class run : public virtual ::apache::thrift::TBase {
@@ -381,13 +382,15 @@
   run() noexcept
       : number(0),
         worker(),
-        life(0) {
+        life(0),
+        settled(0) {
   }
 
   virtual ~run() noexcept;
   int32_t number;
   std::string worker;
   int64_t life;
+  bool settled;
 
   _run__isset __isset;
 
@@ -397,6 +400,8 @@
 
   void __set_life(const int64_t val);
 
+  void __set_settled(const bool val);
+
   bool operator == (const run & rhs) const
   {
     if (!(number == rhs.number))
@@ -405,6 +410,10 @@
       return false;
     if (!(life == rhs.life))
       return false;
+    if (__isset.settled != rhs.__isset.settled)
+      return false;
+    else if (__isset.settled && !(settled == rhs.settled))
+      return false;
     return true;
   }
   bool operator != (const run &rhs) const {
--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -41,6 +41,12 @@
   /// then, a later process may have executed the start.
   bool is_listed = false;
   bool has_unanswered_start = false;
+  /// Whether the process that the start was meant for has listed the run.
+  bool is_listed_as_meant = false;
+  bool is_start_answered = false;
+  /// Whether that process has listed the run and each attempt to start it was
+  /// answered, so that no later process can start it. Stored for successors.
+  bool is_settled = false;
   run_phase phase = run_phase::starting;
   /// When the start or, in phase `stopping`, the stop was ordered.
   time_point ordered_at;
--- a/packages/batch/include/batch/job_records.h
+++ b/packages/batch/include/batch/job_records.h
@@ -45,6 +45,8 @@
   /// Start time of the worker process; distinguishes it from later processes
   /// under the same id.
   unix_ms incarnation = 0;
+  /// No later process can start the run; see `run_state::is_settled`.
+  bool is_settled = false;
 
   bool operator==(const run_record&) const = default;
 };
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -295,6 +295,7 @@
   const worker_state* find_worker(std::string_view id) const;
   void apply_end(worker_state& worker, const reported_end& end, time_point now);
   void apply_running(worker_state& worker, const worker_report& report);
+  void note_settled(step_state& step, int index, run_state& run);
   void check_progress(step_state& step, int index, run_state& run, int progress,
                       const worker_report& report);
   void update_pace(worker_state& worker, time_point now);
--- a/packages/batch/src/job_records.cc
+++ b/packages/batch/src/job_records.cc
@@ -294,6 +294,9 @@
       to_run.number = run.number;
       to_run.worker = run.worker;
       to_run.life = run.incarnation;
+      if (run.is_settled) {
+        to_run.__set_settled(true);
+      }
     }
   }
   return write_record(out);
@@ -316,7 +319,8 @@
                      std::move(from.checkpoint),
                      {}};
     for (auto& run : from.runs) {
-      task.runs.push_back({run.number, std::move(run.worker), run.life});
+      task.runs.push_back({run.number, std::move(run.worker), run.life,
+                           run.__isset.settled && run.settled});
     }
     if (!is_valid(task)) {
       return absl::DataLossError("decode step progress: number out of range");
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -466,6 +466,8 @@
       auto& added = task.runs.back();
       added.incarnation = run.incarnation;
       added.phase = run_phase::running;
+      added.is_listed = run.is_settled;
+      added.is_settled = run.is_settled;
       added.answered_at = takeover_;
       added.is_answered = true;
       // Unknown, since the previous leader may have changed the pace.
@@ -810,7 +812,8 @@
     record.checkpoint = task.done ? "" : task.checkpoint;
     for (const auto& run : task.runs) {
       record.runs.push_back(
-          {run.number, run.worker->entry.info.id, run.incarnation});
+          {run.number, run.worker->entry.info.id, run.incarnation,
+           run.is_settled});
     }
     records.push_back(std::move(record));
   }
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -29,6 +29,10 @@
 /// Delay before a task whose start was refused is placed again.
 constexpr milliseconds refusal_retry_delay{200};
 
+/// That a run is settled is stored at once if it takes about as long as a
+/// successor would otherwise wait for it.
+constexpr milliseconds min_settled_run_time{10000};
+
 milliseconds since(time_point earlier, time_point now) {
   return std::chrono::duration_cast<milliseconds>(now - earlier);
 }
@@ -457,6 +461,9 @@
       // Timed by the clock of the process that the start was meant for.
       run->progressed_at.reset();
     }
+    run->is_listed_as_meant =
+        run->is_listed_as_meant || run->incarnation == report.incarnation;
+    note_settled(*step, row.task.index, *run);
     mark_begun(*step->job);
     check_progress(*step, row.task.index, *run, row.progress, report);
     run->measurement = row.measurement;
@@ -488,6 +495,21 @@
   }
 }
 
+/// Notes that no later process can start a run, once that is known. It is stored
+/// with the next change of the step; for a task that lasts at once, since none
+/// may follow for long.
+void scheduler::note_settled(step_state& step, int index, run_state& run) {
+  if (run.is_settled || !run.is_listed_as_meant || !run.is_start_answered ||
+      run.has_unanswered_start) {
+    return;
+  }
+  run.is_settled = true;
+  if (step.spec->long_running ||
+      step.spec->estimated_run_time >= min_settled_run_time) {
+    step.mark_dirty(index);
+  }
+}
+
 /// Records the progress of a run and stops it if it has stalled.
 ///
 /// Measures on the worker's clock: a report may have been written long before
@@ -536,8 +558,14 @@
   auto* worker = find_worker(id);
   auto* step = find_step(task.step);
   auto* run = find_run(task, run_number);
-  if (worker == nullptr || run == nullptr || run->worker != worker ||
-      run->phase != run_phase::starting) {
+  if (worker == nullptr || run == nullptr || run->worker != worker) {
+    return;
+  }
+  if (outcome == start_outcome::confirmed) {
+    run->is_start_answered = true;
+    note_settled(*step, task.index, *run);
+  }
+  if (run->phase != run_phase::starting) {
     return;
   }
   switch (outcome) {
--- a/packages/batch/test/job_records_test.cc
+++ b/packages/batch/test/job_records_test.cc
@@ -43,7 +43,8 @@
 TEST_CASE("step progress is unchanged after encoding and decoding") {
   std::vector<task_record> tasks = {
       {0, true, 2, 1, "", {}},
-      {3, false, 5, 0, "00ab", {{5, "i-1", 1'700'000'000'002}}}};
+      {3, false, 5, 0, "00ab", {{5, "i-1", 1'700'000'000'002}}},
+      {4, false, 1, 0, "", {{1, "i-2", 1'700'000'000'002, true}}}};
   auto read = decode_progress(encode(tasks, 1'700'000'000'003));
   REQUIRE(read.ok());
   REQUIRE(read->tasks == tasks);
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -14,12 +14,14 @@
 /// A task that was started on a worker whose process is replaced by a later one
 /// under the same id.
 struct later_process_fixture : scheduler_fixture {
-  explicit later_process_fixture(int attempts = 2)
+  explicit later_process_fixture(int attempts = 2, bool long_running = false)
       : scheduler_fixture(with_long_leases()) {
     // No order of an earlier leader takes effect any more.
     advance_time(20000ms);
     add_worker("w1", {4000, 4000, 0});
-    add_job("a", {step(1, 1000)}, attempts);
+    auto work = step(1, 1000);
+    work.long_running = long_running;
+    add_job("a", {work}, attempts);
     plan();
     REQUIRE(workers.at("w1").running.size() == 1);
     add_worker("w2", {4000, 4000, 0});
@@ -107,6 +109,84 @@
   CHECK(f.started_elsewhere());
 }
 
+// Guards against a task that lasts and is away for a late call and the longest
+// lease: the leader knew that no later process can start its run, and its
+// successor did not.
+TEST_CASE("a new leader knows that a run was listed by its process") {
+  for (bool is_listed : {true, false}) {
+    later_process_fixture f(2, true);
+    f.report("w1");
+    f.plan();
+    f.replace_process();
+    f.workers.at("w1").unresponsive = true;
+    if (!is_listed) {
+      auto process = f.workers.at("w1").entry;
+      f.workers.erase("w1");
+      f.take_over(std::vector<lost_worker>());
+      f.tested_scheduler().on_earlier_entry("w1", process.incarnation, f.now());
+    } else {
+      f.take_over(std::vector<lost_worker>());
+    }
+    // The lease of the earlier leader.
+    f.pass(6900ms);
+    CHECK_FALSE(f.started_elsewhere());
+    f.pass(300ms);
+    CHECK(f.started_elsewhere());
+  }
+}
+
+// The same after another change of the leader, which has restored it.
+TEST_CASE("it is still known two leaders later") {
+  later_process_fixture f(2, true);
+  f.report("w1");
+  f.plan();
+  f.take_over(std::vector<lost_worker>());
+  f.report("w1");
+  f.plan();
+  f.replace_process();
+  f.workers.at("w1").unresponsive = true;
+  f.take_over(std::vector<lost_worker>());
+  f.pass(7200ms);
+  CHECK(f.started_elsewhere());
+}
+
+// Guards against two runs of a task at once: what was stored is not enough to
+// know that no later process starts the run.
+TEST_CASE("a new leader waits for a start that may still take effect") {
+  SECTION("an attempt was not answered, a later one was") {
+    later_process_fixture f(2, true);
+    f.tested_scheduler().on_start_unanswered("w1", {{"a", 0, 0}, 0}, 1,
+                                             f.now());
+    f.report("w1");
+    f.plan();
+    f.replace_process();
+    f.workers.at("w1").unresponsive = true;
+    f.take_over(std::vector<lost_worker>());
+    f.pass(10000ms);
+    CHECK_FALSE(f.started_elsewhere());
+  }
+  SECTION("only a later process has listed the run") {
+    later_process_fixture f(2, true);
+    f.replace_process();
+    f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+    f.advance_time(100ms);
+    f.report("w1");
+    f.plan();
+    f.workers.at("w1").unresponsive = true;
+    f.take_over(std::vector<lost_worker>());
+    f.pass(10000ms);
+    CHECK_FALSE(f.started_elsewhere());
+  }
+  SECTION("nobody has listed the run") {
+    later_process_fixture f(2, true);
+    f.replace_process();
+    f.workers.at("w1").unresponsive = true;
+    f.take_over(std::vector<lost_worker>());
+    f.pass(10000ms);
+    CHECK_FALSE(f.started_elsewhere());
+  }
+}
+
 // Guards against waits that begin anew under each leader.
 TEST_CASE(
     "changes of the leader do not lengthen the wait for a later process") {
--- a/packages/batch/thrift/batch_records.thrift
+++ b/packages/batch/thrift/batch_records.thrift
@@ -46,6 +46,7 @@
   1: i32 number
   2: string worker
   3: i64 life
+  4: optional bool settled
 }
 
 struct task {
