batch: pass on the bound for a later process with the lost workers

Cause: the list of lost workers tells when the known leases are over. If a later process had started, each successor counted 13 s for a late call and the longest lease anew from its own takeover.

Ruled out: the progress records, which are the same under each leader.

Change: the list has a second bound for each worker, for the case that a later process has started. It holds since a listed worker gets no order. A list of an earlier version lacks it; then the wait is as before.

With the bound of the known process in its place, "the bound for a later process is passed on before it is known" fails; spec/lives.pml NO_LATER_BOUND_IN_LIST gives a counterexample.

--- a/packages/batch/include/batch/lease_bound.h
+++ b/packages/batch/include/batch/lease_bound.h
@@ -65,6 +65,12 @@
   ///   process is the one that answered last or a later one that has got orders
   ///   meant for it.
   time_point later_process_expires_at() const;
+  /// @return the same if a later process is not known, but has started.
+  /// @param longest the longest lease that a worker grants.
+  time_point expires_at_after_restart(milliseconds longest) const;
+  /// Takes over that bound from an earlier holder, whose orders are the only
+  /// ones that a later process may have got.
+  void inherit_bound_after_restart(time_point bound, milliseconds longest);
 
  private:
   static milliseconds longest_duration(milliseconds on_worker_clock);
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -291,6 +291,7 @@
 
   // Workers.
   worker_state& find_or_add_worker(const model::worker_id& id);
+  void inherit_lost_worker(worker_state& worker, const lost_worker& lost) const;
   worker_state* find_worker(std::string_view id);
   const worker_state* find_worker(std::string_view id) const;
   void apply_end(worker_state& worker, const reported_end& end, time_point now);
@@ -322,6 +323,7 @@
                       time_point now) const;
   static bool is_started_after_runs(const worker_state& worker,
                                     unix_ms incarnation);
+  static bool may_be_started_later(const run_state& run);
   static time_point lease_end_of(const worker_state& worker,
                                  const run_state& run);
   static bool replaces(const worker_state& successor,
@@ -439,8 +441,8 @@
   std::int64_t smallest_worker_cpu_ = 0;
   /// Reserved share of the processor capacity of all reachable workers.
   double utilisation_ = 1;
-  /// When the leases on lost workers end, as known to earlier leaders.
-  std::map<std::string, time_point, std::less<>> inherited_lease_ends_;
+  /// What earlier leaders knew of lost workers.
+  std::map<std::string, lost_worker, std::less<>> inherited_lost_workers_;
   std::vector<order> orders_;
   std::vector<topic_record> job_removals_;
   std::vector<topic_record> progress_removals_;
--- a/packages/batch/include/batch/worker.h
+++ b/packages/batch/include/batch/worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,11 @@
   model::worker_id id;
   /// When no lease on it is valid any more.
   time_point lease_ends_at;
+  /// The same if a later process has started on it that is not known yet; empty
+  /// if the list does not tell, as that of an earlier version.
+  std::optional<time_point> later_lease_ends_at = std::nullopt;
+
+  bool operator==(const lost_worker&) const = default;
 };
 
 /// Status of all runs of a worker.
--- a/packages/batch/src/lease_bound.cc
+++ b/packages/batch/src/lease_bound.cc
@@ -41,12 +41,19 @@
 }
 
 time_point lease_bound::later_process_expires_at() const {
-  if (!longest_of_later_process_) {
-    return expires_at_;
-  }
-  return std::max(expires_at_,
-                  std::max(may_arrive_until_, may_act_until_) +
-                      longest_duration(*longest_of_later_process_));
+  return longest_of_later_process_
+             ? expires_at_after_restart(*longest_of_later_process_)
+             : expires_at_;
+}
+
+time_point lease_bound::expires_at_after_restart(milliseconds longest) const {
+  return std::max(expires_at_, std::max(may_arrive_until_, may_act_until_) +
+                                   longest_duration(longest));
+}
+
+void lease_bound::inherit_bound_after_restart(time_point bound,
+                                              milliseconds longest) {
+  extend_unanswered(bound - longest_duration(longest));
 }
 
 void lease_bound::restart(milliseconds clock, time_point received,
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -416,7 +416,7 @@
 
 void scheduler::inherit_lost_workers(std::span<const lost_worker> lost) {
   for (const auto& worker : lost) {
-    inherited_lease_ends_.emplace(worker.id, worker.lease_ends_at);
+    inherited_lost_workers_.emplace(worker.id, worker);
   }
 }
 
@@ -811,9 +811,8 @@
     record.failures = task.failures;
     record.checkpoint = task.done ? "" : task.checkpoint;
     for (const auto& run : task.runs) {
-      record.runs.push_back(
-          {run.number, run.worker->entry.info.id, run.incarnation,
-           run.is_settled});
+      record.runs.push_back({run.number, run.worker->entry.info.id,
+                             run.incarnation, run.is_settled});
     }
     records.push_back(std::move(record));
   }
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -67,25 +67,34 @@
   if (worker == nullptr) {
     worker = std::make_unique<worker_state>();
     worker->entry.info.id = id;
-    auto lease_ends_at = takeover_ + options_.previous_leader_lease;
-    // The earlier leader knew what it had ordered, and counted on a later
-    // process if it knew of one.
-    if (auto known = inherited_lease_ends_.find(id);
-        known != inherited_lease_ends_.end()) {
-      lease_ends_at = known->second;
-      worker->contact_lost = true;
-    }
-    worker->lease = lease_bound(lease_ends_at);
-    // A bound beyond that of a usual lease counts on a later process already.
-    if (lease_ends_at <= takeover_ + options_.previous_leader_lease) {
-      auto last_order =
-          std::min(takeover_, lease_ends_at - options_.given_lease);
-      worker->lease.extend_unanswered(last_order + options_.late_call_limit);
+    auto known = inherited_lost_workers_.find(id);
+    if (known == inherited_lost_workers_.end()) {
+      worker->lease = lease_bound(takeover_ + options_.previous_leader_lease);
+      worker->lease.extend_unanswered(takeover_ + options_.late_call_limit);
+    } else {
+      inherit_lost_worker(*worker, known->second);
     }
   }
   return *worker;
 }
 
+/// Takes over the bounds on the leases of a worker that gets no orders since an
+/// earlier leader has lost contact with it.
+void scheduler::inherit_lost_worker(worker_state& worker,
+                                    const lost_worker& lost) const {
+  worker.contact_lost = true;
+  worker.lease = lease_bound(lost.lease_ends_at);
+  if (lost.later_lease_ends_at) {
+    worker.lease.inherit_bound_after_restart(*lost.later_lease_ends_at,
+                                             options_.longest_lease);
+  } else if (lost.lease_ends_at <= takeover_ + options_.previous_leader_lease) {
+    // A bound beyond that of a usual lease counts on a later process already.
+    auto last_order =
+        std::min(takeover_, lost.lease_ends_at - options_.given_lease);
+    worker.lease.extend_unanswered(last_order + options_.late_call_limit);
+  }
+}
+
 scheduler::worker_state* scheduler::find_worker(std::string_view id) {
   auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : found->second.get();
@@ -163,13 +172,18 @@
   expect_restart(*worker, incarnation, now);
 }
 
-/// @return when no lease that covers the run is valid any more. A run that was
-///   listed ends with the process that listed it, unless an earlier attempt to
-///   start it may still reach a later one.
+/// @return whether a later process may still start the run. One that was listed
+///   ends with the process that listed it, unless an earlier attempt to start
+///   it may still take effect.
+bool scheduler::may_be_started_later(const run_state& run) {
+  return !run.is_listed || run.has_unanswered_start;
+}
+
+/// @return when no lease that covers the run is valid any more.
 time_point scheduler::lease_end_of(const worker_state& worker,
                                    const run_state& run) {
   bool may_run_later = run.incarnation != worker.expected_incarnation &&
-                       (!run.is_listed || run.has_unanswered_start);
+                       may_be_started_later(run);
   return may_run_later ? worker.lease.later_process_expires_at()
                        : worker.lease.expires_at();
 }
@@ -280,10 +294,16 @@
   for (const auto& [id, worker] : workers_) {
     if (worker->contact_lost && !worker->runs.empty()) {
       auto ends_at = worker->lease.expires_at();
+      auto later_ends_at = ends_at;
       for (const auto& ref : worker->runs) {
         ends_at = std::max(ends_at, lease_end_of(*worker, ref.run()));
+        if (may_be_started_later(ref.run())) {
+          later_ends_at = std::max(
+              later_ends_at,
+              worker->lease.expires_at_after_restart(options_.longest_lease));
+        }
       }
-      lost.push_back({id, ends_at});
+      lost.push_back({id, ends_at, std::max(ends_at, later_ends_at)});
     }
   }
   return lost;
@@ -495,9 +515,9 @@
   }
 }
 
-/// Notes that no later process can start a run, once that is known. It is stored
-/// with the next change of the step; for a task that lasts at once, since none
-/// may follow for long.
+/// Notes that no later process can start a run, once that is known. It is
+/// stored with the next change of the step; for a task that lasts at once,
+/// since none may follow for long.
 void scheduler::note_settled(step_state& step, int index, run_state& run) {
   if (run.is_settled || !run.is_listed_as_meant || !run.is_start_answered ||
       run.has_unanswered_start) {
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -202,6 +202,37 @@
   CHECK(f.started_elsewhere());
 }
 
+// Guards against two runs of a task at once: the leader that listed the worker
+// as lost did not know of a later process yet.
+TEST_CASE("the bound for a later process is passed on before it is known") {
+  later_process_fixture f;
+  f.cut_off();
+  auto lost = f.tested_scheduler().lost_workers();
+  REQUIRE(lost.size() == 1);
+  f.replace_process();
+  f.pass(1000ms);
+  f.take_over(lost);
+  // The last call may take effect for 1.4 s; 10 s is the longest lease.
+  f.pass(10000ms);
+  CHECK_FALSE(f.started_elsewhere());
+  f.pass(1000ms);
+  CHECK(f.started_elsewhere());
+}
+
+// The same for a list of an earlier version, which does not tell that bound.
+TEST_CASE("a bound for a later process that is not passed on is assumed") {
+  later_process_fixture f;
+  f.cut_off();
+  auto lost = f.tested_scheduler().lost_workers();
+  REQUIRE(lost.size() == 1);
+  lost.front().later_lease_ends_at.reset();
+  f.replace_process();
+  f.pass(1000ms);
+  f.take_over(lost);
+  f.pass(15000ms);
+  CHECK_FALSE(f.started_elsewhere());
+}
+
 // Guards against a run beyond its stop: the stop was answered by the process
 // that then ended, and a later one has started the run.
 TEST_CASE("a run that is listed long after its stop is stopped again") {
--- a/packages/dispatch/include/dispatch/lost_worker_list.h
+++ b/packages/dispatch/include/dispatch/lost_worker_list.h
@@ -21,6 +21,9 @@
     /// Time, from the sending of the record, after which no lease on the worker
     /// is valid.
     model::milliseconds remaining{0};
+    /// The same if a later process has started on the worker; empty in the
+    /// record of an earlier version.
+    std::optional<model::milliseconds> remaining_after_restart = std::nullopt;
 
     bool operator==(const entry&) const = default;
   };
@@ -72,16 +75,16 @@
   std::vector<batch::lost_worker> workers() const;
 
  private:
-  using bounds = std::map<std::string, model::time_point, std::less<>>;
+  using worker_map = std::map<std::string, batch::lost_worker, std::less<>>;
 
   struct sent_list {
     std::int64_t sequence = 0;
-    bounds ends;
+    worker_map workers;
   };
 
   std::string holder_id_;
   std::int64_t sequence_ = 0;
-  bounds stored_;
+  worker_map stored_;
   /// Lists sent since the stored one. Each of them may have been stored or may
   /// still be: a record without an answer can take effect later.
   std::deque<sent_list> sent_;
--- a/packages/dispatch/src/lost_worker_list.cc
+++ b/packages/dispatch/src/lost_worker_list.cc
@@ -9,10 +9,50 @@
 
 namespace vanillaladder::dispatch {
 
+namespace {
+
+/// @return the time left in whole milliseconds, rounded up; 0 if it is over.
+model::milliseconds remaining_at(model::time_point now,
+                                 model::time_point ends_at) {
+  return std::max(std::chrono::ceil<model::milliseconds>(ends_at - now),
+                  model::milliseconds(0));
+}
+
+std::optional<model::milliseconds> parse_remaining(absl::string_view text) {
+  std::int64_t remaining = 0;
+  if (!absl::SimpleAtoi(text, &remaining) || remaining < 0) {
+    return std::nullopt;
+  }
+  return model::milliseconds(remaining);
+}
+
+/// Parses "REMAINING" or "REMAINING/REMAINING_AFTER_RESTART".
+std::optional<lost_worker_record::entry> parse_entry(std::string id,
+                                                     absl::string_view times) {
+  std::vector<absl::string_view> parts = absl::StrSplit(times, '/');
+  auto remaining = parse_remaining(parts[0]);
+  if (!remaining || parts.size() > 2) {
+    return std::nullopt;
+  }
+  lost_worker_record::entry entry{std::move(id), *remaining, std::nullopt};
+  if (parts.size() == 2) {
+    entry.remaining_after_restart = parse_remaining(parts[1]);
+    if (!entry.remaining_after_restart) {
+      return std::nullopt;
+    }
+  }
+  return entry;
+}
+
+}  // namespace
+
 std::string encode(const lost_worker_record& record) {
   auto text = absl::StrCat(record.holder, " ", record.sequence);
   for (const auto& worker : record.workers) {
     absl::StrAppend(&text, " ", worker.id, " ", worker.remaining.count());
+    if (worker.remaining_after_restart) {
+      absl::StrAppend(&text, "/", worker.remaining_after_restart->count());
+    }
   }
   return text;
 }
@@ -27,11 +67,11 @@
   }
   record.holder = parts[0];
   for (std::size_t n = 2; n < parts.size(); n += 2) {
-    std::int64_t remaining = 0;
-    if (!absl::SimpleAtoi(parts[n + 1], &remaining) || remaining < 0) {
+    auto entry = parse_entry(std::move(parts[n]), parts[n + 1]);
+    if (!entry) {
       return std::nullopt;
     }
-    record.workers.push_back({parts[n], model::milliseconds(remaining)});
+    record.workers.push_back(std::move(*entry));
   }
   return record;
 }
@@ -44,14 +84,18 @@
       return;
     }
     // The bounds as of the sending are tighter than those by the arrival.
-    stored_ = std::move(own->ends);
+    stored_ = std::move(own->workers);
     sent_.erase(sent_.begin(), std::next(own));
     return;
   }
   stored_.clear();
   sent_.clear();
-  for (const auto& worker : record.workers) {
-    stored_.emplace(worker.id, now + worker.remaining);
+  for (const auto& each : record.workers) {
+    batch::lost_worker worker{each.id, now + each.remaining, std::nullopt};
+    if (each.remaining_after_restart) {
+      worker.later_lease_ends_at = now + *each.remaining_after_restart;
+    }
+    stored_.emplace(each.id, std::move(worker));
   }
 }
 
@@ -61,7 +105,7 @@
   auto current = lost ? std::move(*lost) : workers();
   bool was_empty =
       stored_.empty() && std::ranges::all_of(sent_, [](const auto& list) {
-        return list.ends.empty();
+        return list.workers.empty();
       });
   if (current.empty() && was_empty) {
     return std::nullopt;
@@ -71,32 +115,36 @@
   lost_worker_record record{holder_id_, ++sequence_, {}};
   sent_list sent{sequence_, {}};
   for (const auto& worker : current) {
-    auto remaining = std::max(
-        std::chrono::ceil<model::milliseconds>(worker.lease_ends_at - now),
-        model::milliseconds(0));
-    record.workers.push_back({worker.id, remaining});
-    sent.ends.emplace(worker.id, worker.lease_ends_at);
+    lost_worker_record::entry entry{
+        worker.id, remaining_at(now, worker.lease_ends_at), std::nullopt};
+    if (worker.later_lease_ends_at) {
+      entry.remaining_after_restart =
+          remaining_at(now, *worker.later_lease_ends_at);
+    }
+    record.workers.push_back(std::move(entry));
+    sent.workers.emplace(worker.id, worker);
   }
   sent_.push_back(std::move(sent));
   if (sent_.size() > max_sent_lists) {
     auto oldest = std::move(sent_.front());
     sent_.pop_front();
-    sent_.front().ends.merge(oldest.ends);
+    sent_.front().workers.merge(oldest.workers);
   }
   return record;
 }
 
 bool lost_worker_list::may_extend_lease(std::string_view id) const {
   return !stored_.contains(id) &&
-         std::ranges::none_of(
-             sent_, [id](const auto& list) { return list.ends.contains(id); });
+         std::ranges::none_of(sent_, [id](const auto& list) {
+           return list.workers.contains(id);
+         });
 }
 
 std::vector<batch::lost_worker> lost_worker_list::workers() const {
   std::vector<batch::lost_worker> workers;
   workers.reserve(stored_.size());
-  for (const auto& [id, ends_at] : stored_) {
-    workers.push_back({id, ends_at});
+  for (const auto& [id, worker] : stored_) {
+    workers.push_back(worker);
   }
   return workers;
 }
--- a/packages/dispatch/test/lost_worker_list_test.cc
+++ b/packages/dispatch/test/lost_worker_list_test.cc
@@ -21,7 +21,11 @@
   lost_worker_record record{"front-1-77", 3, {{"w1", 2500ms}, {"w2", 0ms}}};
   REQUIRE(decode_lost_workers(encode(record)) == record);
   REQUIRE(decode_lost_workers("a 1") == lost_worker_record{"a", 1, {}});
-  for (const char* text : {"", "a", "a x", "a 1 w1", "a 1 w1 x", "a 1 w1 -5"}) {
+  record.workers.push_back({"w3", 10ms, 20ms});
+  REQUIRE(decode_lost_workers(encode(record)) == record);
+  for (const char* text :
+       {"", "a", "a x", "a 1 w1", "a 1 w1 x", "a 1 w1 -5", "a 1 w1 5/",
+        "a 1 w1 5/x", "a 1 w1 5/-6", "a 1 w1 5/6/7", "a 1 w1 /6"}) {
     REQUIRE_FALSE(decode_lost_workers(text).has_value());
   }
 }
@@ -47,6 +51,26 @@
   REQUIRE(record->workers.front().remaining == 1000ms);
 }
 
+// The same for the bound that counts if a later process has started.
+TEST_CASE("the bound after a restart is passed on from leader to leader") {
+  lost_worker_list first("a");
+  auto worker = lost("w1", start + 5s);
+  worker.front().later_lease_ends_at = start + 11s;
+  auto record = first.prepare_record(worker, start);
+  auto now = start;
+  for (int n = 0; n < 4; ++n) {
+    lost_worker_list next("b" + std::to_string(n));
+    next.on_record(*record, now);
+    now += 1s;
+    record = next.prepare_record(std::nullopt, now);
+  }
+  REQUIRE(record->workers.front().remaining == 1s);
+  REQUIRE(record->workers.front().remaining_after_restart == 7s);
+  lost_worker_list last("c");
+  last.on_record(*record, now);
+  REQUIRE(last.workers().front().later_lease_ends_at == start + 11s);
+}
+
 // Guards against a successor that relies on a list although the worker has been
 // given a lease since.
 TEST_CASE("a listed worker gets a lease only after a list without it") {
