batch: keep in doubt restored runs that a late start may reach

Found by comparing the code with spec/lives.pml: two runs of a task at once are possible. An attempt to start a run stays without an answer, a later one succeeds, the leader changes, and the worker lists the run to the new leader. The new leader then took the run for one that ends with its process. If that process ends, the attempt of the earlier leader may start the run on the next one, for longer than the new leader waits.

Ruled out: the fencing token; a process that has just started has seen none.

Change: a restored run that is not settled counts as one with an attempt without an answer.

--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -468,6 +468,8 @@
       added.phase = run_phase::running;
       added.is_listed = run.is_settled;
       added.is_settled = run.is_settled;
+      // Otherwise, an attempt of an earlier leader may be without an answer.
+      added.has_unanswered_start = !run.is_settled;
       added.answered_at = takeover_;
       added.is_answered = true;
       // Unknown, since the previous leader may have changed the pace.
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -187,6 +187,24 @@
   }
 }
 
+// Guards against two runs of a task at once: an attempt without an answer under
+// the earlier leader may still take effect, although its process lists the run
+// to the new one.
+TEST_CASE("a restored run may be started later although it is listed again") {
+  later_process_fixture f(2, true);
+  f.tested_scheduler().on_start_unanswered("w1", {{"a", 0, 0}, 0}, 1, f.now());
+  f.report("w1");
+  f.plan();
+  f.take_over(std::vector<lost_worker>());
+  f.advance_time(100ms);
+  f.report("w1");
+  f.replace_process();
+  f.tested_scheduler().update_worker(f.workers.at("w1").entry, f.now());
+  f.cut_off();
+  f.pass(10000ms);
+  CHECK_FALSE(f.started_elsewhere());
+}
+
 // Guards against waits that begin anew under each leader.
 TEST_CASE(
     "changes of the leader do not lengthen the wait for a later process") {
