batch: restore complete occurrences together with those found by progress

A takeover that finds an occurrence complete by its stored progress closes it, and queues the removal of that progress. The record ID/done, read after it, then replaced the set, and the occurrence was taken for one that has never run.

Change: the set that is read is added to the one found. Complete occurrences are closed before the next ones are opened, instead of one plan later.

Before: batch_test "what was complete is restored together with what completed since" failed ("0-0" for "0-1", a task started again). After: passes, with all of batch_test.

--- a/packages/batch/include/batch/occurrence_set.h
+++ b/packages/batch/include/batch/occurrence_set.h
@@ -14,6 +14,7 @@
   /// Adds a number; does nothing if the set contains it.
   /// @param number not negative.
   void insert(int number);
+  void insert(const occurrence_set& other);
   bool contains(int number) const;
   /// @return the lowest number that is at least `from` and not in the set.
   int next_missing(int from) const;
--- a/packages/batch/src/occurrence_set.cc
+++ b/packages/batch/src/occurrence_set.cc
@@ -49,6 +49,14 @@
   ranges_.emplace(number, last);
 }
 
+void occurrence_set::insert(const occurrence_set& other) {
+  for (const auto& [first, last] : other.ranges_) {
+    for (int number = first; number <= last; ++number) {
+      insert(number);
+    }
+  }
+}
+
 std::string to_string(const occurrence_set& set) {
   std::string text;
   for (const auto& [first, last] : set.ranges_) {
--- a/packages/batch/src/scheduler.cc
+++ b/packages/batch/src/scheduler.cc
@@ -508,7 +508,8 @@
     return false;
   }
   mark_begun(*job);
-  job->completed = completed;
+  // Others may have been found complete by their progress.
+  job->completed.insert(completed);
   std::vector<int> closed;
   for (const auto& occurrence : job->occurrences) {
     if (completed.contains(occurrence.number)) {
@@ -858,13 +859,15 @@
   expire_leases(now);
   forget_departed_workers(now);
   update_utilisation();
-  open_due_occurrences(now, wall);
-  place(now, out.orders);
-  has_changes_ = has_changes_ || is_budget_exhausted();
   for (auto& [id, job] : jobs_) {
     if (!has_ended(job->state)) {
       close_complete_occurrences(*job);
     }
+  }
+  open_due_occurrences(now, wall);
+  place(now, out.orders);
+  has_changes_ = has_changes_ || is_budget_exhausted();
+  for (auto& [id, job] : jobs_) {
     if (std::exchange(job->completed_dirty, false)) {
       out.progress.push_back(
           {to_string(completed_key{id}), to_string(job->completed)});
--- a/packages/batch/test/recurring_jobs_test.cc
+++ b/packages/batch/test/recurring_jobs_test.cc
@@ -212,6 +212,22 @@
   }
 }
 
+// Guards against an occurrence that runs again: its last progress was stored,
+// but not yet that it is complete, as the older ones are.
+TEST_CASE("what was complete is restored together with what completed since") {
+  recurring_fixture f;
+  f.add_worker("w1", {2000, 90000, 0});
+  f.add_recurring("a", scheduler_fixture::step(1, 1000), 4);
+  std::vector<task_record> done = {{0, true, 1, 0, "", {}}};
+  f.records["a/done"] = "0-0";
+  f.records["a/1/0"] = encode(done);
+  f.replace_leader();
+  CHECK(f.records.at("a/done") == "0-1");
+  CHECK(f.workers_running("a.2.0.0").size() == 1);
+  CHECK(f.workers_running("a.3.0.0").size() == 1);
+  CHECK(f.running() == 2);
+}
+
 // Guards against a successor that ends for its memory: an earlier version kept
 // the progress of all occurrences.
 TEST_CASE("complete occurrences of an earlier version are not restored") {
