batch: count a call on its way as late in the list of lost workers

The bound for a later process counted calls on their way as answered or given up in time. If the leader ends before it knows, its successor doesn't wait for the 13 s in which a call without an answer may take effect. spec/lives.pml counts each call as late from its sending on.

Change: while a call may be on its way, the bound for the successor counts it as late.

"the bound for a later process is passed on before it is known" asks for the list 2 s later, when no call is on its way.

--- a/packages/batch/include/batch/lease_bound.h
+++ b/packages/batch/include/batch/lease_bound.h
@@ -68,6 +68,11 @@
   /// @return the same if a later process is not known, but has started.
   /// @param longest the longest lease that a worker grants.
   time_point expires_at_after_restart(milliseconds longest) const;
+  /// @return the same for a successor, which won't know whether calls on their
+  ///   way get a response.
+  /// @param late how long a call may take effect after it was given up.
+  time_point bound_for_successor(time_point now, milliseconds longest,
+                                 milliseconds late) const;
   /// Takes over that bound from an earlier holder, whose orders are the only
   /// ones that a later process may have got.
   void inherit_bound_after_restart(time_point bound, milliseconds longest);
--- a/packages/batch/include/batch/scheduler.h
+++ b/packages/batch/include/batch/scheduler.h
@@ -215,7 +215,7 @@
   /// @return whether the worker is listed or may still have runs.
   bool needs_contact(const model::worker_id& id) const;
   /// @return the workers that have not answered and may still have runs.
-  std::vector<lost_worker> lost_workers() const;
+  std::vector<lost_worker> lost_workers(time_point now) const;
   /// @return decisions of look-ahead placement so far.
   const look_ahead_counts& look_ahead_decisions() const {
     return look_ahead_counts_;
--- a/packages/batch/src/lease_bound.cc
+++ b/packages/batch/src/lease_bound.cc
@@ -51,6 +51,17 @@
                                    longest_duration(longest));
 }
 
+time_point lease_bound::bound_for_successor(time_point now,
+                                            milliseconds longest,
+                                            milliseconds late) const {
+  auto bound = expires_at_after_restart(longest);
+  if (now <= may_arrive_until_) {
+    bound =
+        std::max(bound, may_arrive_until_ + late + longest_duration(longest));
+  }
+  return bound;
+}
+
 void lease_bound::inherit_bound_after_restart(time_point bound,
                                               milliseconds longest) {
   extend_unanswered(bound - longest_duration(longest));
--- a/packages/batch/src/scheduler_workers.cc
+++ b/packages/batch/src/scheduler_workers.cc
@@ -289,22 +289,25 @@
   }
 }
 
-std::vector<lost_worker> scheduler::lost_workers() const {
+std::vector<lost_worker> scheduler::lost_workers(time_point now) const {
   std::vector<lost_worker> lost;
   for (const auto& [id, worker] : workers_) {
-    if (worker->contact_lost && !worker->runs.empty()) {
-      auto ends_at = worker->lease.expires_at();
-      auto later_ends_at = ends_at;
-      for (const auto& ref : worker->runs) {
-        ends_at = std::max(ends_at, lease_end_of(*worker, ref.run()));
-        if (may_be_started_later(ref.run())) {
-          later_ends_at = std::max(
-              later_ends_at,
-              worker->lease.expires_at_after_restart(options_.longest_lease));
-        }
-      }
-      lost.push_back({id, ends_at, std::max(ends_at, later_ends_at)});
+    if (!worker->contact_lost || worker->runs.empty()) {
+      continue;
+    }
+    auto ends_at = worker->lease.expires_at();
+    bool may_start_later = false;
+    for (const auto& ref : worker->runs) {
+      ends_at = std::max(ends_at, lease_end_of(*worker, ref.run()));
+      may_start_later = may_start_later || may_be_started_later(ref.run());
+    }
+    auto later_ends_at = ends_at;
+    if (may_start_later) {
+      later_ends_at = std::max(
+          ends_at, worker->lease.bound_for_successor(
+                       now, options_.longest_lease, options_.late_call_limit));
     }
+    lost.push_back({id, ends_at, later_ends_at});
   }
   return lost;
 }
--- a/packages/batch/test/later_process_test.cc
+++ b/packages/batch/test/later_process_test.cc
@@ -214,7 +214,7 @@
   f.cut_off();
   for (int n = 0; n < 4; ++n) {
     f.pass(3000ms);
-    f.take_over(f.tested_scheduler().lost_workers());
+    f.take_over(f.tested_scheduler().lost_workers(f.now()));
   }
   f.pass(2000ms);
   CHECK(f.started_elsewhere());
@@ -225,23 +225,38 @@
 TEST_CASE("the bound for a later process is passed on before it is known") {
   later_process_fixture f;
   f.cut_off();
-  auto lost = f.tested_scheduler().lost_workers();
+  f.pass(2000ms);
+  auto lost = f.tested_scheduler().lost_workers(f.now());
   REQUIRE(lost.size() == 1);
   f.replace_process();
-  f.pass(1000ms);
   f.take_over(lost);
-  // The last call may take effect for 1.4 s; 10 s is the longest lease.
-  f.pass(10000ms);
+  // The last call was given up after 1.4 s; 10 s is the longest lease.
+  f.pass(9000ms);
   CHECK_FALSE(f.started_elsewhere());
   f.pass(1000ms);
   CHECK(f.started_elsewhere());
 }
 
+// The same while the last call has neither been answered nor given up: it may
+// still be one that takes effect late.
+TEST_CASE("the bound that is passed on counts the call on its way as late") {
+  later_process_fixture f;
+  f.cut_off();
+  auto lost = f.tested_scheduler().lost_workers(f.now());
+  REQUIRE(lost.size() == 1);
+  f.replace_process();
+  f.take_over(lost);
+  f.pass(23000ms);
+  CHECK_FALSE(f.started_elsewhere());
+  f.pass(2000ms);
+  CHECK(f.started_elsewhere());
+}
+
 // The same for a list of an earlier version, which does not tell that bound.
 TEST_CASE("a bound for a later process that is not passed on is assumed") {
   later_process_fixture f;
   f.cut_off();
-  auto lost = f.tested_scheduler().lost_workers();
+  auto lost = f.tested_scheduler().lost_workers(f.now());
   REQUIRE(lost.size() == 1);
   lost.front().later_lease_ends_at.reset();
   f.replace_process();
--- a/packages/batch/test/scheduler_test.cc
+++ b/packages/batch/test/scheduler_test.cc
@@ -537,7 +537,7 @@
   for (int n = 0; n < 5; ++n) {
     f.tested_scheduler().on_unreachable("w1", f.now());
     f.plan();
-    auto lost = f.tested_scheduler().lost_workers();
+    auto lost = f.tested_scheduler().lost_workers(f.now());
     REQUIRE(lost.size() == 1);
     f.advance_time(1000ms);
     f.take_over(lost);
--- a/packages/dispatch/src/leader.cc
+++ b/packages/dispatch/src/leader.cc
@@ -780,7 +780,7 @@
   if (!impl_->active) {
     return std::nullopt;
   }
-  return impl_->scheduler.lost_workers();
+  return impl_->scheduler.lost_workers(boot_now());
 }
 
 bool leader::active() const {
