--- a/packages/batch/include/batch/detail/scheduler_state.h
+++ b/packages/batch/include/batch/detail/scheduler_state.h
@@ -15,6 +15,7 @@
 #include "batch/job_records.h"
 #include "batch/lease_bound.h"
 #include "batch/occurrence_set.h"
+#include "batch/orders.h"
 #include "batch/pace_control.h"
 #include "batch/worker.h"
 #include "batch/worker_trust.h"
@@ -136,6 +137,8 @@
   std::span<const task_state> tasks_of_part(int part) const;
   /// @return whether a task of the part has been started.
   bool has_progress(int part) const;
+  /// Appends the removal of the records of its progress.
+  void append_progress_removals(std::vector<topic_record>& removals) const;
 };
 
 struct occurrence_state {
